--- a/src/control.rs
+++ b/src/control.rs
@@ -4,6 +4,7 @@
 //! system": each gateway refuses a customer's requests with chance 1 - quota / offered, where the offered
 //! rate of all gateways is taken from the meter, and the class of the lowest worth goes first.
 
+use crate::fleet::{Fleet, Moment, PATIENCE};
 use crate::interface::*;
 use crate::meter::MeterClock;
 use oorandom::Rand64;
@@ -58,26 +59,10 @@
 const SHRINK: f64 = 0.95;
 const STEP: f64 = 0.05;
 const CREW: f64 = 5.0;
-/// A server silent for so many mean answer times, with work of ours in hand, is taken to hang.
-const SILENCE: f64 = 4.0;
-/// Mean answer times after which what was learned of a server's pace has faded to a third.
-const FADE: f64 = 20.0;
-/// Failures in a row that eject a server.
-const STRIKES: u32 = 3;
-/// An attempt out for so many mean answer times may get a further one.
-const PATIENCE: f64 = 3.0;
 /// Further attempts for each first one: the retry budget.
 const RETRY_SHARE: f64 = 0.15;
 /// The part of the wanted time within which a further attempt or a held request must start to be of use.
 const USEFUL: f64 = 0.5;
-/// Part of the allowance for a cold server that is used: the rest covers unlike requests and gateways.
-const COLD_MARGIN: f64 = 0.7;
-/// Cost of a server in another zone, as a factor: breaks near ties only.
-const FAR: f64 = 1.1;
-/// Pace of a server below which being faster counts no more: a lucky run must not draw all the work.
-const LEAST_PACE: f64 = 0.2;
-/// Spread of the random part of a cost: enough to part equals, too little to overrule a difference.
-const TIE: f64 = 0.1;
 
 const DEADLINE: u64 = 0;
 const REVIEW: u64 = 1;
@@ -133,19 +118,6 @@
     held: VecDeque<RequestId>,
 }
 
-#[derive(Debug)]
-struct Server {
-    entry: ServerEntry,
-    /// When own attempts in hand were sent, the oldest first.
-    out: Vec<Millis>,
-    /// Time taken against the fleet's mean.
-    slowness: f64,
-    judged: Millis,
-    answered: Millis,
-    strikes: u32,
-    ejected_until: Millis,
-}
-
 /// The decisions of one gateway.
 #[derive(Debug)]
 pub struct Gateway {
@@ -163,7 +135,7 @@
     pressed_before: bool,
     no_server: u32,
     requests: BTreeMap<RequestId, Open>,
-    servers: BTreeMap<ServerId, Server>,
+    fleet: Fleet,
     /// Recent share of each class in the offered units, and the classes from the highest worth down.
     class_mix: Vec<f64>,
     class_order: Vec<usize>,
@@ -223,7 +195,7 @@
             pressed_before: false,
             no_server: 0,
             requests: BTreeMap::new(),
-            servers: BTreeMap::new(),
+            fleet: Fleet::default(),
             class_mix: vec![1.0 / classes.max(1) as f64; classes],
             class_order,
             answer_time: settings.classes.iter().map(|class| class.aim / (2.0 * PATIENCE)).collect(),
@@ -419,9 +391,7 @@
 
     /// Own attempts in hand that can still be in time: hung servers must not close the door.
     fn young(&self, aim: Millis) -> f64 {
-        let since = self.now - aim;
-        let young = |server: &Server| server.out.iter().filter(|at| **at > since).count();
-        self.servers.values().map(young).sum::<usize>() as f64
+        self.fleet.sent_after(self.now - aim) as f64
     }
 
     /// Once a second: reports refusals that are not the coin's, and forgets customers that have been idle
@@ -471,90 +441,29 @@
         true
     }
 
-    // ---- Balancing and health. ----
-
-    /// Share of its full capacity that a server has at least.
-    fn warmth(&self, server: &Server) -> f64 {
-        match server.entry.launched {
-            Some(at) if self.settings.cold_for > 0.0 && self.now < at + self.settings.cold_for => {
-                let ramp = ((self.now - at) / self.settings.cold_for).clamp(0.0, 1.0);
-                self.settings.cold_from + (1.0 - self.settings.cold_from) * ramp
-            }
-            _ => 1.0,
-        }
-    }
+    // ---- What answers tell. ----
 
     /// Mean time of an answer over the classes, by their recent mix.
     fn mean_answer(&self) -> f64 {
         self.answer_time.iter().zip(&self.class_mix).map(|(time, share)| time * share).sum()
     }
 
-    /// Time taken against the fleet's mean; it fades to that of the others, so that a server passed over is
-    /// tried again.
-    fn slowness(&self, server: &Server) -> f64 {
-        let age = (self.now - server.judged).max(0.0) / self.mean_answer().max(1.0);
-        1.0 + (server.slowness - 1.0) * (-age / FADE).exp()
+    fn moment(&self) -> Moment {
+        Moment { now: self.now, mean_answer: self.mean_answer() }
     }
 
-    /// Whether a server holds work of ours and has said nothing for long. Hung, paused, slow, cut off or
-    /// lying: from here it looks the same, and the answer is the same.
-    fn silence(&self, server: &Server) -> f64 {
-        let Some(oldest) = server.out.first() else { return 0.0 };
-        (self.now - oldest.max(server.answered)) / self.mean_answer().max(1.0)
-    }
-
-    /// Picks the server with the least expected wait, as far as own work and answers tell.
     fn choose(&mut self, request: RequestId) -> Option<ServerId> {
         let open = &self.requests[&request];
-        let class = self.settings.classes[open.request.class];
-        let ran = open.attempts.iter().find(|attempt| attempt.may_have_run);
-        let home = ran.map(|attempt| attempt.to);
-        // Guards against tipping a cold server over: it is drawn by lot for its part of the fleet,
-        // whatever its answers, so that all gateways, however many, send it no more for its capacity than a
-        // warm one; with few warm ones left, the rest is refused. Hurts where warmth is understated.
-        let (mut ready, mut capacity) = (0.0, 0.0);
-        for server in self.servers.values().filter(|server| server.entry.lifecycle == Lifecycle::Ready) {
-            let warmth = self.warmth(server);
-            ready += 1.0;
-            capacity += warmth;
-        }
-        let capacity = f64::max(capacity, ready / (COLD_MARGIN * self.settings.tip_multiple).max(1.0));
-        let mut best: [Option<(f64, ServerId)>; 2] = [None, None];
-        for (&id, server) in &self.servers {
-            let same_group = match (class.effect, home) {
-                (Effect::Keyed { scope: Scope::Zone, .. }, Some(home)) => home.zone == server.entry.zone,
-                (Effect::Keyed { scope: Scope::Cell, .. }, Some(home)) => home.cell == server.entry.cell,
-                _ => true,
-            };
-            if !same_group || server.entry.lifecycle != Lifecycle::Ready {
-                continue;
-            }
-            let warmth = self.warmth(server);
-            let drawn = warmth < 1.0 && self.rng.rand_float() < warmth / capacity;
-            if warmth < 1.0 && !drawn {
-                continue;
-            }
-            let silence = self.silence(server);
-            let ejected =
-                self.now < server.ejected_until || (server.strikes >= STRIKES && !server.out.is_empty());
-            let tried = open.attempts.iter().any(|attempt| attempt.to.id == id);
-            let size = if server.entry.share > 0.0 { server.entry.share } else { 1.0 };
-            let far = if server.entry.zone == self.settings.zone { 1.0 } else { FAR };
-            let wait =
-                (server.out.len() as f64 + 1.0) * self.slowness(server).max(silence / 2.0).max(LEAST_PACE);
-            let cost = if drawn { 0.0 } else { wait } * far / size * (1.0 + TIE * self.rng.rand_float());
-            let rank = &mut best[usize::from(ejected || tried)];
-            if rank.is_none_or(|(least, _)| cost < least) {
-                *rank = Some((cost, id));
-            }
-        }
-        best[0].or(best[1]).map(|(_, id)| id)
+        let effect = self.settings.classes[open.request.class].effect;
+        let home = open.attempts.iter().find(|attempt| attempt.may_have_run).map(|attempt| attempt.to);
+        let tried = |id| open.attempts.iter().any(|attempt| attempt.to.id == id);
+        let moment = Moment { now: self.now, mean_answer: self.mean_answer() };
+        self.fleet.choose(moment, &self.settings, effect, home, tried, &mut self.rng)
     }
 
     /// Learns from the end of an attempt.
     fn judge(&mut self, class: usize, id: ServerId, end: &AttemptEnd, actions: &mut Vec<Action>) {
-        let now = self.now;
-        let mean = self.answer_time[class].max(1.0);
+        let usual = self.answer_time[class].max(1.0);
         let elapsed = if end.elapsed.is_finite() { end.elapsed.max(0.0) } else { 0.0 };
         match end.outcome {
             Outcome::Ok => {
@@ -562,46 +471,14 @@
                 self.adapt(class, elapsed <= LATE * aim);
             }
             Outcome::Full | Outcome::TimedOut => {
-                self.full_at = if end.outcome == Outcome::Full { now } else { self.full_at };
+                self.full_at = if end.outcome == Outcome::Full { self.now } else { self.full_at };
                 self.adapt(class, false);
             }
             _ => {}
         }
-        let Some(server) = self.servers.get(&id) else { return };
-        let slowness = self.slowness(server);
-        let Some(server) = self.servers.get_mut(&id) else { return };
-        server.slowness = slowness;
-        server.judged = now;
-        let worst = 2.0 * SILENCE;
-        match end.outcome {
-            Outcome::Ok => {
-                if server.strikes >= STRIKES {
-                    actions.push(Action::Log(format!("server {id} answers again")));
-                }
-                server.strikes = 0;
-                server.ejected_until = 0.0;
-                server.answered = now;
-                blend(&mut server.slowness, (elapsed / mean).min(worst), SAMPLE);
-                blend(&mut self.answer_time[class], elapsed, SAMPLE / 5.0);
-            }
-            Outcome::Cancelled => blend(&mut server.slowness, (elapsed / mean).min(worst), SAMPLE),
-            Outcome::Moot => {}
-            // Guards against a server that fails some or all of what it gets, at once or late: each failure
-            // weighs as a very slow answer, and some in a row eject it. Hurts if the fault is the request's.
-            _ => {
-                server.strikes += 1;
-                blend(&mut server.slowness, worst, SAMPLE);
-                if matches!(end.outcome, Outcome::Full | Outcome::Error) {
-                    server.answered = now;
-                }
-            }
-        }
-        if server.strikes >= STRIKES {
-            if server.strikes == STRIKES {
-                actions.push(Action::Log(format!("server {id} ejected: {STRIKES} failures in a row")));
-            }
-            let doublings = (server.strikes - STRIKES).min(4);
-            server.ejected_until = now + PATIENCE * mean * f64::from(1u32 << doublings);
+        self.fleet.judge(self.moment(), id, end.outcome, elapsed, usual, actions);
+        if end.outcome == Outcome::Ok && self.fleet.entry(id).is_some() {
+            blend(&mut self.answer_time[class], elapsed, SAMPLE / 5.0);
         }
     }
 
@@ -635,7 +512,7 @@
                 {
                     customer.sends.push_back((self.now, request.units));
                 }
-                self.retry_budget = (self.retry_budget + RETRY_SHARE).min(self.servers.len() as f64);
+                self.retry_budget = (self.retry_budget + RETRY_SHARE).min(self.fleet.len() as f64);
                 self.send(id, server, actions);
             }
         }
@@ -643,10 +520,10 @@
 
     fn send(&mut self, id: RequestId, to: ServerId, actions: &mut Vec<Action>) {
         let Some(open) = self.requests.get_mut(&id) else { return };
-        let Some(server) = self.servers.get_mut(&to) else { return };
-        server.out.push(self.now);
+        let Some(entry) = self.fleet.entry(to) else { return };
+        self.fleet.began(to, self.now);
         open.held = false;
-        open.attempts.push(Attempt { to: server.entry, sent: self.now, out: true, may_have_run: true });
+        open.attempts.push(Attempt { to: entry, sent: self.now, out: true, may_have_run: true });
         if let Some(customer) = self.customers.get_mut(&open.request.customer) {
             customer.open += 1;
         }
@@ -701,7 +578,7 @@
             self.further(id, actions);
         } else if free && !self.settings.may_duplicate && self.settings.may_cancel {
             // One copy at a time: the attempt is given up first, and its end brings the next one.
-            let silent = self.servers.get(&last.to.id).is_none_or(|server| self.silence(server) > SILENCE);
+            let silent = self.fleet.hangs(self.moment(), last.to.id);
             let useful = self.now < open.arrived + self.settings.classes[open.request.class].aim;
             let more = open.attempts.len() < self.settings.max_attempts as usize && self.retry_budget >= 1.0;
             if silent && useful && more {
@@ -732,14 +609,7 @@
         if end.finished {
             open.done = true;
         }
-        if let Some(server) = self.servers.get_mut(&server) {
-            if let Some(place) = server.out.iter().position(|at| *at == sent) {
-                server.out.remove(place);
-            }
-            if server.out.is_empty() && server.entry.lifecycle == Lifecycle::Gone {
-                self.servers.remove(&attempt.to.id);
-            }
-        }
+        self.fleet.ended(server, sent);
         self.judge(request.class, server, &end, actions);
         let next = self.customers.get_mut(&request.customer).and_then(|customer| {
             customer.open = customer.open.saturating_sub(1);
@@ -816,7 +686,7 @@
 
     // ---- Roster. ----
 
-    /// Follows the server list. A server that drains or is gone gets nothing from this moment on.
+    /// Asks for the server list where it has to be asked for, and follows it.
     fn roster(&mut self, kind: ListKind, entries: Vec<ServerEntry>, actions: &mut Vec<Action>) {
         if self.settings.list_on_request {
             match kind {
@@ -828,26 +698,8 @@
         if kind == ListKind::Failed {
             return;
         }
-        if kind != ListKind::Delta {
-            for server in self.servers.values_mut() {
-                server.entry.lifecycle = Lifecycle::Gone;
-            }
-        }
-        for entry in entries {
-            let (out, now, strikes) = (Vec::new(), self.now, 0);
-            let fresh =
-                Server { entry, out, slowness: 1.0, judged: now, answered: now, strikes, ejected_until: 0.0 };
-            let server = self.servers.entry(entry.id).or_insert(fresh);
-            if entry.launched.is_some() && entry.launched != server.entry.launched {
-                server.strikes = 0;
-                server.ejected_until = 0.0;
-                server.slowness = 1.0;
-            }
-            server.entry = entry;
-        }
-        self.servers.retain(|_, server| server.entry.lifecycle != Lifecycle::Gone || !server.out.is_empty());
-        let ready = self.servers.values().filter(|server| server.entry.lifecycle == Lifecycle::Ready).count();
-        self.idle_part = IDLE * ready as f64 / f64::from(self.settings.gateways);
+        self.fleet.follow(self.now, kind, entries);
+        self.idle_part = IDLE * self.fleet.ready() as f64 / f64::from(self.settings.gateways);
         self.limit = self.limit.max(self.idle_part);
     }
 }
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,242 @@
+//! Which server an attempt goes to: what is known of the servers, their health, and the choice among them.
+//! Admission, retries and answers are the business of `src/control.rs`.
+
+use crate::interface::*;
+use oorandom::Rand64;
+use std::collections::BTreeMap;
+
+/// A server silent for so many mean answer times, with work of ours in hand, is taken to hang.
+pub(crate) const SILENCE: f64 = 4.0;
+/// An attempt out for so many mean answer times may get a further one.
+pub(crate) const PATIENCE: f64 = 3.0;
+/// Weight of a new answer in a server's pace: about the last 10 of them count.
+const SAMPLE: f64 = 0.1;
+/// Mean answer times after which what was learned of a server's pace has faded to a third.
+const FADE: f64 = 20.0;
+/// Failures in a row that eject a server.
+const STRIKES: u32 = 3;
+/// Part of the allowance for a cold server that is used: the rest covers unlike requests and gateways.
+const COLD_MARGIN: f64 = 0.7;
+/// Cost of a server in another zone, as a factor: breaks near ties only.
+const FAR: f64 = 1.1;
+/// Pace of a server below which being faster counts no more: a lucky run must not draw all the work.
+const LEAST_PACE: f64 = 0.2;
+/// Spread of the random part of a cost: enough to part equals, too little to overrule a difference.
+const TIE: f64 = 0.1;
+
+#[derive(Debug)]
+struct Server {
+    entry: ServerEntry,
+    /// When own attempts in hand were sent, the oldest first.
+    out: Vec<Millis>,
+    /// Time taken against the fleet's mean.
+    slowness: f64,
+    judged: Millis,
+    answered: Millis,
+    strikes: u32,
+    ejected_until: Millis,
+}
+
+/// What holds for all servers at one moment: the clock, and the mean time of an answer.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Moment {
+    pub now: Millis,
+    pub mean_answer: Millis,
+}
+
+/// The servers that the list names, and those gone from it that still hold work of ours.
+#[derive(Debug, Default)]
+pub(crate) struct Fleet {
+    servers: BTreeMap<ServerId, Server>,
+}
+
+impl Fleet {
+    pub fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    pub fn ready(&self) -> usize {
+        self.servers.values().filter(|server| server.entry.lifecycle == Lifecycle::Ready).count()
+    }
+
+    pub fn entry(&self, id: ServerId) -> Option<ServerEntry> {
+        self.servers.get(&id).map(|server| server.entry)
+    }
+
+    /// Attempts in hand that were sent after `since`.
+    pub fn sent_after(&self, since: Millis) -> usize {
+        let sent = |server: &Server| server.out.iter().filter(|at| **at > since).count();
+        self.servers.values().map(sent).sum()
+    }
+
+    /// Follows the server list. A server that drains or is gone gets nothing from this moment on.
+    pub fn follow(&mut self, now: Millis, kind: ListKind, entries: Vec<ServerEntry>) {
+        if kind != ListKind::Delta {
+            for server in self.servers.values_mut() {
+                server.entry.lifecycle = Lifecycle::Gone;
+            }
+        }
+        for entry in entries {
+            let (out, strikes) = (Vec::new(), 0);
+            let fresh =
+                Server { entry, out, slowness: 1.0, judged: now, answered: now, strikes, ejected_until: 0.0 };
+            let server = self.servers.entry(entry.id).or_insert(fresh);
+            if entry.launched.is_some() && entry.launched != server.entry.launched {
+                server.strikes = 0;
+                server.ejected_until = 0.0;
+                server.slowness = 1.0;
+            }
+            server.entry = entry;
+        }
+        self.servers.retain(|_, server| server.entry.lifecycle != Lifecycle::Gone || !server.out.is_empty());
+    }
+
+    /// Notes an attempt.
+    pub fn began(&mut self, id: ServerId, now: Millis) {
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.out.push(now);
+        }
+    }
+
+    /// Notes that the attempt sent then has ended.
+    pub fn ended(&mut self, id: ServerId, sent: Millis) {
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        if let Some(place) = server.out.iter().position(|at| *at == sent) {
+            server.out.remove(place);
+        }
+        if server.out.is_empty() && server.entry.lifecycle == Lifecycle::Gone {
+            self.servers.remove(&id);
+        }
+    }
+
+    /// Share of its full capacity that a server has at least.
+    fn warmth(settings: &Settings, now: Millis, server: &Server) -> f64 {
+        match server.entry.launched {
+            Some(at) if settings.cold_for > 0.0 && now < at + settings.cold_for => {
+                let ramp = ((now - at) / settings.cold_for).clamp(0.0, 1.0);
+                settings.cold_from + (1.0 - settings.cold_from) * ramp
+            }
+            _ => 1.0,
+        }
+    }
+
+    /// Time taken against the fleet's mean; it fades to that of the others, so that a server passed over is
+    /// tried again.
+    fn slowness(moment: Moment, server: &Server) -> f64 {
+        let age = (moment.now - server.judged).max(0.0) / moment.mean_answer.max(1.0);
+        1.0 + (server.slowness - 1.0) * (-age / FADE).exp()
+    }
+
+    /// Mean answer times for which a server that holds work of ours has said nothing. Hung, paused, slow, cut
+    /// off or lying: from here it looks the same, and the answer is the same.
+    fn silence(moment: Moment, server: &Server) -> f64 {
+        let Some(oldest) = server.out.first() else { return 0.0 };
+        (moment.now - oldest.max(server.answered)) / moment.mean_answer.max(1.0)
+    }
+
+    /// Whether a server is taken to hang; one that is no longer known is.
+    pub fn hangs(&self, moment: Moment, id: ServerId) -> bool {
+        self.servers.get(&id).is_none_or(|server| Fleet::silence(moment, server) > SILENCE)
+    }
+
+    fn is_ejected(now: Millis, server: &Server) -> bool {
+        now < server.ejected_until || (server.strikes >= STRIKES && !server.out.is_empty())
+    }
+
+    /// Picks the server with the least expected wait, as far as own work and answers tell. `home` is where an
+    /// earlier attempt may have run, `tried` tells which servers had one.
+    pub fn choose(
+        &self,
+        moment: Moment,
+        settings: &Settings,
+        effect: Effect,
+        home: Option<ServerEntry>,
+        tried: impl Fn(ServerId) -> bool,
+        rng: &mut Rand64,
+    ) -> Option<ServerId> {
+        // Guards against tipping a cold server over: it is drawn by lot for its part of the fleet,
+        // whatever its answers, so that all gateways, however many, send it no more for its capacity than a
+        // warm one; with few warm ones left, the rest is refused. Hurts where warmth is understated.
+        let (mut ready, mut capacity) = (0.0, 0.0);
+        for server in self.servers.values().filter(|server| server.entry.lifecycle == Lifecycle::Ready) {
+            ready += 1.0;
+            capacity += Fleet::warmth(settings, moment.now, server);
+        }
+        let capacity = f64::max(capacity, ready / (COLD_MARGIN * settings.tip_multiple).max(1.0));
+        let mut best: [Option<(f64, ServerId)>; 2] = [None, None];
+        for (&id, server) in &self.servers {
+            let same_group = match (effect, home) {
+                (Effect::Keyed { scope: Scope::Zone, .. }, Some(home)) => home.zone == server.entry.zone,
+                (Effect::Keyed { scope: Scope::Cell, .. }, Some(home)) => home.cell == server.entry.cell,
+                _ => true,
+            };
+            if !same_group || server.entry.lifecycle != Lifecycle::Ready {
+                continue;
+            }
+            let warmth = Fleet::warmth(settings, moment.now, server);
+            let drawn = warmth < 1.0 && rng.rand_float() < warmth / capacity;
+            if warmth < 1.0 && !drawn {
+                continue;
+            }
+            let silence = Fleet::silence(moment, server);
+            let ejected = Fleet::is_ejected(moment.now, server);
+            let size = if server.entry.share > 0.0 { server.entry.share } else { 1.0 };
+            let far = if server.entry.zone == settings.zone { 1.0 } else { FAR };
+            let pace = Fleet::slowness(moment, server).max(silence / 2.0).max(LEAST_PACE);
+            let wait = if drawn { 0.0 } else { (server.out.len() as f64 + 1.0) * pace };
+            let cost = wait * far / size * (1.0 + TIE * rng.rand_float());
+            let rank = &mut best[usize::from(ejected || tried(id))];
+            if rank.is_none_or(|(least, _)| cost < least) {
+                *rank = Some((cost, id));
+            }
+        }
+        best[0].or(best[1]).map(|(_, id)| id)
+    }
+
+    /// Learns a server's pace and health from the end of an attempt that took `elapsed`, where answers of
+    /// its class take `usual`.
+    pub fn judge(
+        &mut self,
+        moment: Moment,
+        id: ServerId,
+        outcome: Outcome,
+        elapsed: Millis,
+        usual: Millis,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        server.slowness = Fleet::slowness(moment, server);
+        server.judged = moment.now;
+        let worst = 2.0 * SILENCE;
+        let pace = (elapsed / usual).min(worst);
+        match outcome {
+            Outcome::Ok => {
+                if server.strikes >= STRIKES {
+                    actions.push(Action::Log(format!("server {id} answers again")));
+                }
+                server.strikes = 0;
+                server.ejected_until = 0.0;
+                server.answered = moment.now;
+                server.slowness += SAMPLE * (pace - server.slowness);
+            }
+            Outcome::Cancelled => server.slowness += SAMPLE * (pace - server.slowness),
+            Outcome::Moot => {}
+            // Guards against a server that fails some or all of what it gets, at once or late: each failure
+            // weighs as a very slow answer, and some in a row eject it. Hurts if the fault is the request's.
+            _ => {
+                server.strikes += 1;
+                server.slowness += SAMPLE * (worst - server.slowness);
+                if matches!(outcome, Outcome::Full | Outcome::Error) {
+                    server.answered = moment.now;
+                }
+            }
+        }
+        if server.strikes >= STRIKES {
+            if server.strikes == STRIKES {
+                actions.push(Action::Log(format!("server {id} ejected: {STRIKES} failures in a row")));
+            }
+            let doublings = (server.strikes - STRIKES).min(4);
+            server.ejected_until = moment.now + PATIENCE * usual * f64::from(1u32 << doublings);
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,6 +41,7 @@
 #![warn(missing_docs)]
 
 pub mod control;
+mod fleet;
 pub mod interface;
 mod meter;
 pub mod wire;
