Keep each of many gateways to a few servers, in an order of its own

Ruled out: handshakes as the cause of late answers: in the first 6 s, answers on new and on reused connections took the same (medians 171 and 148 ms, 141 and 124 ms, 197 and 177 ms by class). Design: subsetting by rendezvous hash of gateway and server, so that one server less moves little; the size is told by the numbers of both (12 gateways a server, 8 servers at the least); unfit servers are passed over; beyond the subset costs double. With few gateways the subset is the fleet.

--- a/src/control.rs
+++ b/src/control.rs
@@ -698,7 +698,7 @@
         if kind == ListKind::Failed {
             return;
         }
-        self.fleet.follow(self.now, kind, entries);
+        self.fleet.follow(self.settings.ordinal, self.now, kind, entries);
         self.idle_part = IDLE * self.fleet.ready() as f64 / f64::from(self.settings.gateways);
         self.limit = self.limit.max(self.idle_part);
     }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -23,6 +23,12 @@
 const LEAST_PACE: f64 = 0.2;
 /// Spread of the random part of a cost: enough to part equals, too little to overrule a difference.
 const TIE: f64 = 0.1;
+/// Gateways that keep to a server, on average: so many even out what each of them sends it.
+const GATEWAYS_A_SERVER: f64 = 12.0;
+/// Servers that a gateway keeps to at the least: with fewer, one that is slow or lost would be felt.
+const LEAST_SUBSET: f64 = 8.0;
+/// Cost of a server outside the own subset, as a factor: one more attempt in hand, and work goes there.
+const OUTSIDE: f64 = 2.0;
 
 #[derive(Debug)]
 struct Server {
@@ -48,6 +54,16 @@
 #[derive(Debug, Default)]
 pub(crate) struct Fleet {
     servers: BTreeMap<ServerId, Server>,
+    /// The ready ones, in an order of this gateway's own: it keeps to the first that are fit.
+    preference: Vec<ServerId>,
+}
+
+/// A number that looks drawn by lot and is always the same for the same pair: SplitMix64's finish.
+fn scatter(gateway: u32, server: ServerId) -> u64 {
+    let mut mixed = ((u64::from(gateway) << 32) | u64::from(server)).wrapping_add(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
 }
 
 impl Fleet {
@@ -56,7 +72,7 @@
     }
 
     pub fn ready(&self) -> usize {
-        self.servers.values().filter(|server| server.entry.lifecycle == Lifecycle::Ready).count()
+        self.preference.len()
     }
 
     pub fn entry(&self, id: ServerId) -> Option<ServerEntry> {
@@ -70,7 +86,7 @@
     }
 
     /// Follows the server list. A server that drains or is gone gets nothing from this moment on.
-    pub fn follow(&mut self, now: Millis, kind: ListKind, entries: Vec<ServerEntry>) {
+    pub fn follow(&mut self, gateway: u32, now: Millis, kind: ListKind, entries: Vec<ServerEntry>) {
         if kind != ListKind::Delta {
             for server in self.servers.values_mut() {
                 server.entry.lifecycle = Lifecycle::Gone;
@@ -89,6 +105,22 @@
             server.entry = entry;
         }
         self.servers.retain(|_, server| server.entry.lifecycle != Lifecycle::Gone || !server.out.is_empty());
+        let ready = self.servers.values().filter(|server| server.entry.lifecycle == Lifecycle::Ready);
+        self.preference = ready.map(|server| server.entry.id).collect();
+        self.preference.sort_by_cached_key(|id| scatter(gateway, *id));
+    }
+
+    /// The servers to keep to. Guards against every gateway holding connections to every server, each used
+    /// so rarely that it costs a handshake and tells nothing of the server's health: where gateways are
+    /// many, each keeps to its own few, and where they are few to all. The order outlives changes of the
+    /// list, so that one server more or less moves little.
+    fn subset(&self, settings: &Settings, now: Millis) -> Vec<ServerId> {
+        let share = GATEWAYS_A_SERVER * self.preference.len() as f64 / f64::from(settings.gateways);
+        let fit = |id: &&ServerId| {
+            let server = self.servers.get(id);
+            server.is_some_and(|s| !Fleet::is_ejected(now, s) && Fleet::warmth(settings, now, s) >= 1.0)
+        };
+        self.preference.iter().filter(fit).take(share.max(LEAST_SUBSET).ceil() as usize).copied().collect()
     }
 
     /// Notes an attempt.
@@ -163,6 +195,7 @@
             capacity += Fleet::warmth(settings, moment.now, server);
         }
         let capacity = f64::max(capacity, ready / (COLD_MARGIN * settings.tip_multiple).max(1.0));
+        let subset = self.subset(settings, moment.now);
         let mut best: [Option<(f64, ServerId)>; 2] = [None, None];
         for (&id, server) in &self.servers {
             let same_group = match (effect, home) {
@@ -184,7 +217,8 @@
             let far = if server.entry.zone == settings.zone { 1.0 } else { FAR };
             let pace = Fleet::slowness(moment, server).max(silence / 2.0).max(LEAST_PACE);
             let wait = if drawn { 0.0 } else { (server.out.len() as f64 + 1.0) * pace };
-            let cost = wait * far / size * (1.0 + TIE * rng.rand_float());
+            let outside = if subset.contains(&id) { 1.0 } else { OUTSIDE };
+            let cost = wait * far * outside / size * (1.0 + TIE * rng.rand_float());
             let rank = &mut best[usize::from(ejected || tried(id))];
             if rank.is_none_or(|(least, _)| cost < least) {
                 *rank = Some((cost, id));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -53,7 +53,11 @@
 
 impl Host {
     pub fn new(settings: Settings, servers: &[ServerEntry]) -> Host {
-        let gateway = Gateway::new(settings, 7, 0.0).expect("the settings make sense");
+        Host::seeded(settings, 7, servers)
+    }
+
+    pub fn seeded(settings: Settings, seed: u64, servers: &[ServerEntry]) -> Host {
+        let gateway = Gateway::new(settings, seed, 0.0).expect("the settings make sense");
         let mut host = Host { gateway, now: 0.0, actions: Vec::new(), next: 1 };
         host.event(Event::Servers { kind: ListKind::Full, entries: servers.to_vec() });
         host
