Hold the shared cap on attempts out at once with a gauge on the counter

A request of a capped plan enters a gauge on the counter before its first attempt and leaves it behind its last; above the cap it is refused at once with a short Retry-After. One gauge serves a stretch of the longest deadline, so that what gateways that died left on it goes with it. Without word from the counter the own attempts decide as before. Copies count against the cap, so such requests get none.

--- a/src/bin/brassport/config.rs
+++ b/src/bin/brassport/config.rs
@@ -192,6 +192,7 @@
         tip_after: told.rules.fall,
         tick: told.tick,
         list_on_request: told.registry_mode == RegistryMode::OnRequest,
+        counter: false,
     };
     settings.validate().map_err(|error| error.to_string())?;
     let time = |name: &str, ms: f64| match Duration::try_from_secs_f64(ms / 1000.0) {
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -252,7 +252,7 @@
                 inner.alarms.push(Reverse((at, token)));
             }
             // The program follows the list from its start, whoever asks.
-            Action::FollowServers => {}
+            Action::FollowServers | Action::Count { .. } => {}
             Action::Log(text) => log::line(text),
         }
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -7,6 +7,7 @@
 use crate::fleet::{Fleet, Moment, PATIENCE};
 use crate::interface::*;
 use crate::meter::MeterClock;
+use crate::places::Places;
 use oorandom::Rand64;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -136,6 +137,7 @@
     no_server: u32,
     requests: BTreeMap<RequestId, Open>,
     fleet: Fleet,
+    places: Places,
     /// Recent share of each class in the offered units, and the classes from the highest worth down.
     class_mix: Vec<f64>,
     class_order: Vec<usize>,
@@ -196,6 +198,7 @@
             no_server: 0,
             requests: BTreeMap::new(),
             fleet: Fleet::default(),
+            places: Places::new(settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max)),
             class_mix: vec![1.0 / classes.max(1) as f64; classes],
             class_order,
             answer_time: settings.classes.iter().map(|class| class.aim / (2.0 * PATIENCE)).collect(),
@@ -224,7 +227,9 @@
                 _ => actions.push(Action::FollowServers),
             },
             Event::Servers { kind, entries } => self.roster(kind, entries, actions),
+            Event::Counted { name, counted } => self.counted(name, counted, actions),
         }
+        self.places.hand_over(actions);
     }
 
     // ---- Admission. ----
@@ -498,6 +503,34 @@
             actions.push(Action::Timer { at: self.now + USEFUL * aim, token: (id << 2) + REVIEW });
             return;
         }
+        // The own gateway's attempts are no measure where others send for the customer, too.
+        if plan.open > 0 && self.settings.counter && request.spread > 1 {
+            self.places.enter(self.now, request.customer, id);
+            return;
+        }
+        self.send_first(id, actions);
+    }
+
+    /// Goes on with a request that asked for a place under its plan's cap. Without word from the counter
+    /// the own gateway's attempts have to do.
+    fn counted(&mut self, name: CountName, counted: Counted, actions: &mut Vec<Action>) {
+        let Some((id, taken)) = self.places.counted(name, counted) else { return };
+        let Some(open) = self.requests.get(&id).filter(|open| !open.done) else {
+            self.places.leave(id);
+            return;
+        };
+        if taken.is_some_and(|taken| taken > f64::from(self.settings.plans[open.request.plan].open)) {
+            let wait = self.mean_answer() * (0.5 + self.rng.rand_float());
+            self.refuse(id, wait, actions);
+            self.places.leave(id);
+        } else {
+            self.send_first(id, actions);
+        }
+    }
+
+    fn send_first(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let request = self.requests[&id].request;
+        let plan = self.settings.plans[request.plan];
         match self.choose(id) {
             None => {
                 self.no_server += 1;
@@ -533,6 +566,11 @@
         actions.push(Action::Timer { at: self.now + patience, token: (id << 2) + REVIEW });
     }
 
+    /// Whether two attempts may be out at once. Each counts against a cap on attempts out.
+    fn may_copy(&self, open: &Open) -> bool {
+        self.settings.may_duplicate && self.settings.plans[open.request.plan].open == 0
+    }
+
     /// Whether a further attempt is allowed by the class, the settings and the retry budget, and of use.
     fn may_try_again(&self, open: &Open) -> bool {
         let class = &self.settings.classes[open.request.class];
@@ -546,7 +584,7 @@
             }
         };
         licensed
-            && (self.settings.may_duplicate || !out)
+            && (self.may_copy(open) || !out)
             && open.attempts.len() < self.settings.max_attempts as usize
             && self.retry_budget >= 1.0
             && self.now < open.arrived + class.aim
@@ -576,7 +614,7 @@
         }
         if self.may_try_again(open) {
             self.further(id, actions);
-        } else if free && !self.settings.may_duplicate && self.settings.may_cancel {
+        } else if free && !self.may_copy(open) && self.settings.may_cancel {
             // One copy at a time: the attempt is given up first, and its end brings the next one.
             let silent = self.fleet.hangs(self.moment(), last.to.id);
             let useful = self.now < open.arrived + self.settings.classes[open.request.class].aim;
@@ -681,6 +719,7 @@
     fn forget_if_over(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(|open| open.done && open.attempts.iter().all(|a| !a.out)) {
             self.requests.remove(&id);
+            self.places.leave(id);
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -10,6 +10,8 @@
 pub type ServerId = u32;
 /// Names a customer.
 pub type CustomerId = u64;
+/// Names a number that the counter keeps for all gateways.
+pub type CountName = u64;
 
 /// Which servers drop a repeat of a keyed request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -115,6 +117,8 @@
     pub tick: Millis,
     /// Whether the server list comes only to gateways that ask for it.
     pub list_on_request: bool,
+    /// Whether there is a counter. Where there is, the clock is one that all gateways share.
+    pub counter: bool,
 }
 
 impl Default for Settings {
@@ -139,6 +143,7 @@
             tip_after: 0.0,
             tick: 1.0,
             list_on_request: false,
+            counter: false,
         }
     }
 }
@@ -322,6 +327,17 @@
     pub used: Option<f64>,
 }
 
+/// How a call of the counter ended.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Counted {
+    /// The amount was added; the number with it.
+    Total(f64),
+    /// Nothing was added.
+    NotAdded,
+    /// It may have been added, or may yet be.
+    Unknown,
+}
+
 /// What happens to a gateway.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
@@ -342,6 +358,13 @@
     ClientGone(RequestId),
     /// A timer that this gateway set.
     Timer(u64),
+    /// A call of the counter ended; for each name they do in the order in which they were made.
+    Counted {
+        /// The number's name.
+        name: CountName,
+        /// How it ended.
+        counted: Counted,
+    },
 }
 
 /// What a gateway asks of its host.
@@ -381,6 +404,15 @@
     },
     /// Ask for the server list and its changes.
     FollowServers,
+    /// Add to a number that the counter keeps for all gateways; answered by exactly one [`Event::Counted`].
+    Count {
+        /// The number's name.
+        name: CountName,
+        /// The amount.
+        amount: f64,
+        /// How long the number lives if it is new.
+        life: Millis,
+    },
     /// A line for staff.
     Log(String),
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
 mod fleet;
 pub mod interface;
 mod meter;
+mod places;
 pub mod wire;
 
 pub use control::Gateway;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -107,7 +107,7 @@
     Detach,
     /// An event of the module's interface.
     Event(Event),
-    /// An event that the module has no use for: probes, peers and the counter, which it never asks for.
+    /// An event that the module has no use for: probes and peers, which it never asks for.
     Unused,
 }
 
@@ -204,7 +204,15 @@
             record.tail(5, 1, tail, "MESSAGE payload")?;
             WireEvent::Unused
         }
-        22 | 25 => WireEvent::Unused,
+        22 => WireEvent::Event(Event::Counted {
+            name: record.u64(3),
+            counted: match outcome(record.u16(11))? {
+                Outcome::Ok => Counted::Total(finite(record.f32(13), "COUNT_RESULT nowAt")?),
+                outcome if outcome.never_ran() => Counted::NotAdded,
+                _ => Counted::Unknown,
+            },
+        }),
+        25 => WireEvent::Unused,
         other => return malformed(format!("event code {other} is unknown")),
     };
     Ok((record.u16(1), event))
@@ -315,6 +323,9 @@
             ceiling_slack: figure("tolerance")?,
         })
     })?;
+    // Settings of older deployments may lack it.
+    let counter = params.0.contains_key("familyInfo.counter");
+    let counter = counter && params.get("familyInfo.counter")?;
     let advice: bool = params.get("bounds.retryAfter")?;
     let settings = Settings {
         gateways: params.get("balancers")?,
@@ -339,6 +350,7 @@
             "on_request" => true,
             other => return malformed(format!("setting registryMode has the unknown value '{other}'")),
         },
+        counter,
     };
     settings.validate().map_err(|error| WireError::Malformed(error.to_string()))?;
     Ok(settings)
@@ -374,6 +386,11 @@
                 out.extend(at.to_be_bytes());
                 out.extend(token.to_be_bytes());
             }),
+            Action::Count { name, amount, life } => self.record(80, instance, |out| {
+                out.extend((*amount as f32).to_be_bytes());
+                out.extend(life.to_be_bytes());
+                out.extend(name.to_be_bytes());
+            }),
             Action::FollowServers => self.record(81, instance, |out| out.push(1)),
             Action::Log(text) => self.text(84, instance, text),
         }
--- a/tests/invariants.rs
+++ b/tests/invariants.rs
@@ -123,6 +123,7 @@
 
     fn check(&mut self, action: &Action) {
         match *action {
+            Action::Count { .. } => panic!("called a counter that is not there"),
             Action::Send { request, server, .. } => {
                 assert_eq!(self.listed.get(&server), Some(&Lifecycle::Ready), "sent to a server not ready");
                 let known = self.requests.get_mut(&request).expect("a known request");
--- /dev/null
+++ b/tests/places.rs
@@ -0,0 +1,162 @@
+//! The cap on attempts out at once, which all gateways share: many of them, one counter, a made-up clock.
+
+mod common;
+
+use common::*;
+use springusher::*;
+use std::collections::BTreeMap;
+
+const GATEWAYS: u32 = 100;
+/// A plan whose customers may have two attempts out.
+const CAPPED: usize = 2;
+const CAP: usize = 2;
+
+/// The gateways and the counter between them, which answers at once.
+struct World {
+    hosts: Vec<Host>,
+    numbers: BTreeMap<CountName, f64>,
+    calls: usize,
+}
+
+impl World {
+    fn new(gateways: u32) -> World {
+        let servers: Vec<_> = (1..=60).map(server).collect();
+        let told = |ordinal| Settings { gateways, ordinal, counter: true, ..settings() };
+        let host = |ordinal| Host::seeded(told(ordinal), u64::from(ordinal), &servers);
+        World { hosts: (0..gateways).map(host).collect(), numbers: BTreeMap::new(), calls: 0 }
+    }
+
+    /// Carries out the calls of the counter among the actions, and those that follow from them.
+    fn count(&mut self, gateway: usize, actions: Vec<Action>) -> Vec<Action> {
+        let mut all = Vec::new();
+        for action in actions {
+            if let Action::Count { name, amount, .. } = action {
+                self.calls += 1;
+                let total = self.numbers.entry(name).or_insert(0.0);
+                *total += amount;
+                let counted = Counted::Total(*total);
+                let next = self.hosts[gateway].event(Event::Counted { name, counted });
+                all.extend(self.count(gateway, next));
+            }
+            all.push(action);
+        }
+        all
+    }
+
+    fn ask(&mut self, gateway: usize, customer: CustomerId) -> (RequestId, Vec<Action>) {
+        let (id, actions) = self.hosts[gateway].ask(customer, CAPPED, 0);
+        (id, self.count(gateway, actions))
+    }
+
+    fn end(&mut self, gateway: usize, id: RequestId) {
+        let actions = self.hosts[gateway].end(id, 0, Outcome::Ok, None);
+        self.count(gateway, actions);
+    }
+
+    /// One request of the same customer through each gateway; those that were sent on.
+    fn ask_all(&mut self, customer: CustomerId) -> Vec<(usize, RequestId)> {
+        let mut out = Vec::new();
+        for gateway in 0..self.hosts.len() {
+            let (id, actions) = self.ask(gateway, customer);
+            match sends(&actions).len() {
+                0 => assert!(refused(&actions), "neither sent nor refused at once"),
+                _ => out.push((gateway, id)),
+            }
+        }
+        out
+    }
+}
+
+#[test]
+fn all_gateways_together_keep_a_customer_within_its_cap() {
+    let mut world = World::new(GATEWAYS);
+    let out = world.ask_all(1);
+    assert_eq!(out.len(), CAP);
+    // Places that are given back are there for others, and another customer has its own.
+    assert_eq!(world.ask_all(2).len(), CAP);
+    for (gateway, id) in out {
+        world.end(gateway, id);
+    }
+    assert_eq!(world.ask_all(1).len(), CAP);
+}
+
+#[test]
+fn a_refusal_for_want_of_a_place_says_when_one_may_be_free() {
+    let mut world = World::new(GATEWAYS);
+    world.ask(0, 1);
+    world.ask(1, 1);
+    let (id, actions) = world.ask(2, 1);
+    let wait = actions.iter().find_map(|action| match action {
+        Action::Refuse { request, retry_after } if *request == id => Some(*retry_after),
+        _ => None,
+    });
+    assert!(wait.is_some_and(|wait| wait > 0.0), "{actions:?}");
+}
+
+#[test]
+fn a_place_is_given_back_once_however_a_request_ends() {
+    for outcome in [Outcome::Ok, Outcome::Error, Outcome::NoConnection, Outcome::TimedOut] {
+        let mut world = World::new(2);
+        let (id, actions) = world.ask(0, 1);
+        assert_eq!(sends(&actions).len(), 1);
+        let mut attempt = 0;
+        loop {
+            let actions = world.hosts[0].end(id, attempt, outcome, None);
+            let actions = world.count(0, actions);
+            if sends(&actions).is_empty() {
+                break;
+            }
+            attempt += 1;
+        }
+        assert!(world.numbers.values().all(|total| *total == 0.0), "{outcome:?}: {:?}", world.numbers);
+    }
+}
+
+#[test]
+fn places_of_gateways_that_died_are_not_taken_for_good() {
+    let mut world = World::new(GATEWAYS);
+    assert_eq!(world.ask_all(1).len(), CAP);
+    // Nobody gives those back. A request lives 4 s at the longest.
+    for host in &mut world.hosts {
+        host.now += 4000.0;
+    }
+    assert_eq!(world.ask_all(1).len(), CAP);
+}
+
+#[test]
+fn without_word_from_the_counter_requests_go_on() {
+    for counted in [Counted::NotAdded, Counted::Unknown] {
+        let mut host = Host::seeded(Settings { counter: true, ..settings() }, 7, &[server(1)]);
+        let (id, actions) = host.ask(1, CAPPED, 0);
+        let [Action::Timer { .. }, Action::Count { name, .. }] = actions[..] else { panic!("{actions:?}") };
+        assert_eq!(sends(&host.event(Event::Counted { name, counted })), [1]);
+        let back = host.end(id, 0, Outcome::Ok, None);
+        let back =
+            back.iter().filter(|action| matches!(action, Action::Count { amount, .. } if *amount < 0.0));
+        // What may have been added is taken off again, and nothing else is.
+        assert_eq!(back.count(), usize::from(counted == Counted::Unknown));
+        // An answer that nobody waits for is passed over.
+        assert!(host.event(Event::Counted { name: 5, counted }).is_empty());
+    }
+}
+
+#[test]
+fn a_client_that_leaves_while_its_place_is_asked_for_takes_none() {
+    let mut host = Host::seeded(Settings { counter: true, ..settings() }, 7, &[server(1)]);
+    let (id, actions) = host.ask(1, CAPPED, 0);
+    let [_, Action::Count { name, .. }] = actions[..] else { panic!("{actions:?}") };
+    host.event(Event::ClientGone(id));
+    let actions = host.event(Event::Counted { name, counted: Counted::Total(1.0) });
+    assert!(matches!(actions[..], [Action::Count { amount: -1.0, .. }]), "{actions:?}");
+}
+
+#[test]
+fn plans_without_a_cap_cost_no_call() {
+    let mut world = World::new(GATEWAYS);
+    for gateway in 0..world.hosts.len() {
+        let (id, actions) = world.hosts[gateway].ask(1, 3, 0);
+        world.count(gateway, actions);
+        world.end(gateway, id);
+    }
+    assert_eq!(world.calls, 0);
+}
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -169,7 +169,7 @@
     assert_eq!(event(Rec::new(24, 3).put(3, &id)), Event::Started(5));
     assert_eq!(event(Rec::new(26, 3).put(3, &id)), Event::ClientGone(5));
     assert_eq!(decode(Rec::new(23, 3), &[]).expect("readable"), (3, WireEvent::Detach));
-    for code in [21, 22, 25] {
+    for code in [21, 25] {
         assert_eq!(decode(Rec::new(code, 3), &[]).expect("readable"), (3, WireEvent::Unused));
     }
     let text = params();
@@ -178,6 +178,34 @@
     assert_eq!(decode(born, text.as_bytes()).expect("readable"), (3, expected));
 }
 
+#[test]
+fn the_counters_answers_are_decoded_and_calls_encoded() {
+    let answer = |verdict: u16, total: f32| {
+        let name = Rec::new(22, 3).put(3, &77u64.to_be_bytes());
+        name.put(11, &verdict.to_be_bytes()).put(13, &total.to_be_bytes())
+    };
+    for (verdict, counted) in [
+        (100, Counted::Total(38.0)),
+        (302, Counted::NotAdded),
+        (304, Counted::NotAdded),
+        (303, Counted::Unknown),
+    ] {
+        assert_eq!(event(answer(verdict, 38.0)), Event::Counted { name: 77, counted });
+    }
+    assert!(decode(answer(99, 38.0), &[]).is_err(), "an unknown verdict");
+    assert!(decode(answer(100, f32::NAN), &[]).is_err(), "no number");
+    let mut reply = Reply::default();
+    reply.push(3, &Action::Count { name: 77, amount: -1.0, life: 3000.0 });
+    let bytes = reply.into_bytes();
+    assert_eq!(bytes[8..11], [80, 0, 3]);
+    assert_eq!(bytes[11..15], (-1f32).to_be_bytes());
+    assert_eq!(bytes[15..23], 3000f64.to_be_bytes());
+    assert_eq!(bytes[23..31], 77u64.to_be_bytes());
+    assert!(settings(&params()).is_ok_and(|told| !told.counter), "a counter that nobody told of");
+    let told = settings(&(params() + "\nfamilyInfo.counter=true"));
+    assert!(told.is_ok_and(|told| told.counter));
+}
+
 #[test]
 fn broken_frames_are_named_and_nothing_panics() {
     let whole = frame(1.0, &[Rec::new(17, 3)], &[]);
