Give the front door a line to the counter, so that the shared cap holds

Design: counter.rs owns one connection, on which calls go out one behind another and in batches; each call ends in order and within counterTimeout. busy, error and no connection: nothing was added; a spoilt answer, an end of the connection or no answer in time: it may have been. An answer that can't be read closes the connection; after a failure none is tried for 0.2 s. SIGHUP moves it. A counter that is absent or odd in the configuration means none. The module's clock is Unix time now, as the names of counts have to be the same at all front doors.

--- a/src/bin/brassport/config.rs
+++ b/src/bin/brassport/config.rs
@@ -7,10 +7,18 @@
 use std::time::Duration;
 use std::{env, fs};
 
+/// How long a call of the counter may take where the settings do not say, and the longest that they may say:
+/// a request waits for it. Milliseconds.
+const COUNTER_TIMEOUT: f64 = 30.0;
+const MOST_COUNTER_TIMEOUT: f64 = 250.0;
+
 /// All that a front door is told at its start.
 pub struct Config {
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where there is none, nothing is counted.
+    pub counter: Option<SocketAddr>,
+    pub counter_timeout: Duration,
     pub seed: u64,
     pub sockets: usize,
     /// Bytes.
@@ -33,6 +41,7 @@
 struct File {
     listen: Option<String>,
     discovery: Option<String>,
+    counter: Option<String>,
     seed: String,
     limits: Limits,
     known: List,
@@ -95,6 +104,10 @@
 struct FamilyInfo {
     most_units: f64,
     use_period: f64,
+    #[serde(default)]
+    counter: bool,
+    #[serde(default)]
+    counter_timeout: f64,
 }
 
 #[derive(Deserialize)]
@@ -173,6 +186,10 @@
         zones: told.areas,
     };
     let bounds = told.bounds;
+    let counter = file.counter.and_then(|text| text.parse::<SocketAddr>().ok());
+    let timeout = told.family_info.counter_timeout;
+    let known_time = timeout.is_finite() && timeout > 0.0;
+    let timeout = if known_time { timeout.min(MOST_COUNTER_TIMEOUT) } else { COUNTER_TIMEOUT };
     let settings = Settings {
         gateways: told.balancers,
         ordinal: told.ordinal,
@@ -192,7 +209,7 @@
         tip_after: told.rules.fall,
         tick: told.tick,
         list_on_request: told.registry_mode == RegistryMode::OnRequest,
-        counter: false,
+        counter: told.family_info.counter && counter.is_some(),
     };
     settings.validate().map_err(|error| error.to_string())?;
     let time = |name: &str, ms: f64| match Duration::try_from_secs_f64(ms / 1000.0) {
@@ -202,6 +219,8 @@
     Ok(Config {
         listen: address("BALANCER_LISTEN", file.listen)?,
         discovery: address("BALANCER_DISCOVERY", file.discovery)?,
+        counter,
+        counter_timeout: Duration::from_secs_f64(timeout / 1000.0),
         seed,
         sockets: file.limits.sockets,
         memory: file.limits.memory_mb.saturating_mul(1 << 20),
--- /dev/null
+++ b/src/bin/brassport/counter.rs
@@ -0,0 +1,287 @@
+//! The counter: one connection, on which calls go out one behind another and answers come in their order.
+//! Every call ends, in the order in which they were made and within the time that the settings give.
+
+use springusher::{CountName, Counted, Millis};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::sync::watch;
+use tokio::time::{sleep_until, timeout, Instant};
+
+/// Longest answer, bytes: a word and a number.
+const ANSWER_LIMIT: usize = 128;
+/// Calls whose time is up and that no answer has come for: beyond that many the connection is given up.
+const MOST_LATE: usize = 256;
+/// After a connection that failed, or brought what can't be read, none is tried for so long: full jitter
+/// would spread front doors that were cut off together no wider than their next calls do.
+const BACK_OFF: Duration = Duration::from_millis(200);
+/// Calls taken from the queue at once.
+const BATCH: usize = 64;
+
+struct Call {
+    name: CountName,
+    amount: f64,
+    life: Millis,
+    until: Instant,
+}
+
+/// A call that is out; `told` once its time was up.
+struct Waiting {
+    name: CountName,
+    until: Instant,
+    told: bool,
+}
+
+/// Takes calls in. They are as many as requests in hand allow, and none waits for longer than its time.
+#[derive(Clone)]
+pub struct Counter {
+    calls: UnboundedSender<Call>,
+    patience: Duration,
+}
+
+impl Counter {
+    /// The counter, and its line for [`Line::keep`].
+    pub fn new(patience: Duration) -> (Counter, Line) {
+        let (calls, queue) = unbounded_channel();
+        let line = Line { queue, patience, link: None, read: Vec::new(), waiting: VecDeque::new() };
+        (Counter { calls, patience }, line)
+    }
+
+    pub fn add(&self, name: CountName, amount: f64, life: Millis) {
+        let call = Call { name, amount, life, until: Instant::now() + self.patience };
+        // The line is kept for as long as the program runs.
+        let _ = self.calls.send(call);
+    }
+}
+
+pub struct Line {
+    queue: UnboundedReceiver<Call>,
+    patience: Duration,
+    link: Option<TcpStream>,
+    /// What has come of an answer so far.
+    read: Vec<u8>,
+    waiting: VecDeque<Waiting>,
+}
+
+impl Line {
+    /// Carries calls out for ever, at the address that `address` holds, and hands each one's end over.
+    pub async fn keep(
+        mut self,
+        mut address: watch::Receiver<Option<SocketAddr>>,
+        ended: impl Fn(CountName, Counted),
+    ) {
+        let mut calls = Vec::with_capacity(BATCH);
+        let mut rest_until = Instant::now();
+        loop {
+            let next_late = self.waiting.iter().find(|call| !call.told).map(|call| call.until);
+            tokio::select! {
+                biased;
+                read = receive(&mut self.link, &mut self.read) => {
+                    if !read || !self.take_answers(&ended) {
+                        self.give_up(&ended);
+                        rest_until = Instant::now() + BACK_OFF;
+                    }
+                }
+                () = sleep_until(next_late.unwrap_or_else(Instant::now)), if next_late.is_some() => {
+                    let now = Instant::now();
+                    for call in self.waiting.iter_mut().filter(|call| !call.told && call.until <= now) {
+                        call.told = true;
+                        ended(call.name, Counted::Unknown);
+                    }
+                    if self.waiting.len() > MOST_LATE {
+                        self.give_up(&ended);
+                    }
+                }
+                moved = address.changed() => {
+                    if moved.is_err() {
+                        return;
+                    }
+                    self.give_up(&ended);
+                    rest_until = Instant::now();
+                }
+                count = self.queue.recv_many(&mut calls, BATCH) => {
+                    if count == 0 {
+                        return;
+                    }
+                    let at = *address.borrow();
+                    if Instant::now() >= rest_until && !self.connected(at).await {
+                        rest_until = Instant::now() + BACK_OFF;
+                    }
+                    if !self.send(&mut calls, &ended).await {
+                        rest_until = Instant::now() + BACK_OFF;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Opens a connection if there is none.
+    async fn connected(&mut self, address: Option<SocketAddr>) -> bool {
+        if self.link.is_none() {
+            let Some(address) = address else { return false };
+            let Ok(Ok(link)) = timeout(self.patience, TcpStream::connect(address)).await else {
+                return false;
+            };
+            if link.set_nodelay(true).is_err() {
+                return false;
+            }
+            self.link = Some(link);
+        }
+        true
+    }
+
+    /// Writes calls out. Where nothing can be written nothing is added.
+    async fn send(&mut self, calls: &mut Vec<Call>, ended: impl Fn(CountName, Counted)) -> bool {
+        let Some(link) = &mut self.link else {
+            calls.drain(..).for_each(|call| ended(call.name, Counted::NotAdded));
+            return true;
+        };
+        let mut lines = String::new();
+        for Call { name, amount, life, .. } in calls.iter() {
+            lines.push_str(&format!("add {name:x} {amount} {}\r\n", life.clamp(1.0, 60_000.0).round()));
+        }
+        let written = matches!(timeout(self.patience, link.write_all(lines.as_bytes())).await, Ok(Ok(())));
+        for Call { name, until, .. } in calls.drain(..) {
+            self.waiting.push_back(Waiting { name, until, told: false });
+        }
+        if !written {
+            self.give_up(ended);
+        }
+        written
+    }
+
+    /// Takes in the whole lines that have come; false if one of them can't be read.
+    fn take_answers(&mut self, ended: impl Fn(CountName, Counted)) -> bool {
+        while let Some(end) = self.read.iter().position(|byte| *byte == b'\n') {
+            let line: Vec<u8> = self.read.drain(..=end).collect();
+            let Some(counted) = answer(&line) else { return false };
+            let Some(call) = self.waiting.pop_front() else { return false };
+            if !call.told {
+                ended(call.name, counted);
+            }
+        }
+        self.read.len() < ANSWER_LIMIT
+    }
+
+    /// Closes the connection. What is out on it may have been added.
+    fn give_up(&mut self, ended: impl Fn(CountName, Counted)) {
+        self.link = None;
+        self.read.clear();
+        for call in self.waiting.drain(..).filter(|call| !call.told) {
+            ended(call.name, Counted::Unknown);
+        }
+    }
+}
+
+/// Reads what has come; false at the end of the connection. Without one it waits for ever.
+async fn receive(link: &mut Option<TcpStream>, read: &mut Vec<u8>) -> bool {
+    match link {
+        Some(link) => matches!(link.read_buf(read).await, Ok(count) if count > 0),
+        None => std::future::pending().await,
+    }
+}
+
+/// What an answer says; `None` if it can't be read.
+fn answer(line: &[u8]) -> Option<Counted> {
+    let mut words = std::str::from_utf8(line).ok()?.split_ascii_whitespace();
+    let counted = match words.next()? {
+        "ok" => Counted::Total(words.next()?.parse().ok().filter(|total: &f64| total.is_finite())?),
+        "busy" | "error" => Counted::NotAdded,
+        _ => return None,
+    };
+    words.next().is_none().then_some(counted)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::cell::RefCell;
+    use std::rc::Rc;
+    use tokio::io::{AsyncBufReadExt, BufReader};
+    use tokio::net::TcpListener;
+
+    /// Makes `calls` calls against a peer that answers the first with `script`, and returns their ends.
+    async fn ends(calls: u64, script: &'static [u8]) -> Vec<(CountName, Counted)> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let at = listener.local_addr().expect("an address");
+        let peer = async move {
+            let (stream, _) = listener.accept().await.expect("a connection");
+            let mut stream = BufReader::new(stream);
+            for n in 0..calls {
+                let mut line = String::new();
+                stream.read_line(&mut line).await.expect("a call");
+                assert_eq!(line, format!("add {n:x} -1.5 4000\r\n"));
+            }
+            stream.write_all(script).await.expect("the answers go out");
+            std::future::pending::<()>().await;
+        };
+        // Its time is never up unless the clock, which stands, is moved.
+        let (counter, line) = Counter::new(Duration::from_secs(3600));
+        let (_address, seen) = watch::channel(Some(at));
+        let got = Rc::new(RefCell::new(Vec::new()));
+        let (put, done) = (got.clone(), tokio::sync::Notify::new());
+        (0..calls).for_each(|name| counter.add(name, -1.5, 4000.0));
+        let ended = |name, counted| {
+            put.borrow_mut().push((name, counted));
+            if put.borrow().len() as u64 == calls {
+                done.notify_one();
+            }
+        };
+        tokio::select! {
+            () = peer => {}
+            () = line.keep(seen, ended) => {}
+            () = done.notified() => {}
+        }
+        let got = got.borrow().clone();
+        got
+    }
+
+    #[tokio::test]
+    async fn answers_end_the_calls_in_their_order() {
+        let got = ends(3, b"ok 2.5\r\nbusy\r\nerror\r\n").await;
+        assert_eq!(got, [(0, Counted::Total(2.5)), (1, Counted::NotAdded), (2, Counted::NotAdded)]);
+    }
+
+    #[tokio::test]
+    async fn a_spoilt_answer_ends_all_that_is_out_and_the_connection() {
+        for script in
+            [&b"ok\r\nok 1\r\n"[..], b"ok x\r\n", b"ok nan\r\n", b"ok 1 2\r\n", b"\xff\n", &[b'a'; 200]]
+        {
+            let got = ends(2, script).await;
+            assert_eq!(got, [(0, Counted::Unknown), (1, Counted::Unknown)], "{script:?}");
+        }
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_call_without_an_answer_ends_when_its_time_is_up() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let (counter, mut line) = Counter::new(Duration::from_millis(30));
+        // With the connection up beforehand, the only thing that the made-up clock can cut short is the call.
+        let at = listener.local_addr().expect("an address");
+        line.link = Some(TcpStream::connect(at).await.expect("a connection"));
+        let (_address, seen) = watch::channel(Some(at));
+        counter.add(7, 1.0, 4000.0);
+        let (ends, mut got) = unbounded_channel();
+        let ended = move |name, counted| ends.send((name, counted)).expect("the test listens");
+        tokio::select! {
+            () = line.keep(seen, ended) => {}
+            end = got.recv() => assert_eq!(end, Some((7, Counted::Unknown))),
+        }
+    }
+
+    #[tokio::test]
+    async fn without_a_connection_nothing_is_added() {
+        let (counter, line) = Counter::new(Duration::from_secs(3600));
+        let (_address, seen) = watch::channel(None);
+        counter.add(7, 1.0, 4000.0);
+        let (ends, mut got) = unbounded_channel();
+        let ended = move |name, counted| ends.send((name, counted)).expect("the test listens");
+        tokio::select! {
+            () = line.keep(seen, ended) => {}
+            end = got.recv() => assert_eq!(end, Some((7, Counted::NotAdded))),
+        }
+    }
+}
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -2,11 +2,14 @@
 //! requests in hand, hands events in, and carries actions out in order. It decides nothing.
 
 use crate::backends::{Backends, End, Message};
+use crate::counter::Counter;
 use crate::discovery::{List, State, Target};
 use crate::log;
 use hyper::body::Bytes;
 use hyper::Response;
-use springusher::{Action, AttemptEnd, Event, Gateway, InvalidSetting, Lifecycle, ListKind, Millis};
+use springusher::{
+    Action, AttemptEnd, CountName, Counted, Event, Gateway, InvalidSetting, Lifecycle, ListKind, Millis,
+};
 use springusher::{Request, RequestId, ServerEntry, ServerId, Settings};
 use std::cell::RefCell;
 use std::cmp::Reverse;
@@ -25,7 +28,8 @@
     Failed,
 }
 
-/// The module's clock: milliseconds since the start, never running backwards.
+/// The module's clock: Unix time in milliseconds, so that all front doors have the same, never running
+/// backwards.
 struct Clock {
     start: Instant,
     /// Unix time at the start. It is read once, so that a moment told twice is the same moment both times.
@@ -38,15 +42,12 @@
         Clock { start: Instant::now(), start_unix: unix.as_secs_f64() * 1000.0 }
     }
     fn now(&self) -> Millis {
-        self.start.elapsed().as_secs_f64() * 1000.0
+        self.start_unix + self.start.elapsed().as_secs_f64() * 1000.0
     }
     fn instant(&self, at: Millis) -> Instant {
-        let since = Duration::try_from_secs_f64(at / 1000.0).unwrap_or_default();
+        let since = Duration::try_from_secs_f64((at - self.start_unix) / 1000.0).unwrap_or_default();
         self.start.checked_add(since).unwrap_or_else(Instant::now)
     }
-    fn of_unix(&self, unix: Millis) -> Millis {
-        unix - self.start_unix
-    }
 }
 
 /// A request that awaits its answer or the ends of its attempts.
@@ -77,6 +78,7 @@
     clock: Clock,
     zones: Vec<String>,
     backends: Rc<Backends>,
+    counter: Counter,
     inner: RefCell<Inner>,
     sooner: Notify,
 }
@@ -87,6 +89,7 @@
         seed: u64,
         zones: Vec<String>,
         backends: Rc<Backends>,
+        counter: Counter,
     ) -> Result<Rc<Door>, InvalidSetting> {
         let clock = Clock::new();
         let inner = Inner {
@@ -97,7 +100,8 @@
             alarms: BinaryHeap::new(),
             uids: HashMap::new(),
         };
-        Ok(Rc::new(Door { clock, zones, backends, inner: RefCell::new(inner), sooner: Notify::new() }))
+        let (inner, sooner) = (RefCell::new(inner), Notify::new());
+        Ok(Rc::new(Door { clock, zones, backends, counter, inner, sooner }))
     }
 
     /// Takes a request in; `expires_in` and the id are filled in here. Guards against a second effect:
@@ -171,7 +175,7 @@
                 State::Ready | State::Draining | State::Unknown => Lifecycle::Draining,
                 State::Gone => Lifecycle::Gone,
             },
-            launched: (target.boot_ms > 0.0).then(|| self.clock.of_unix(target.boot_ms)),
+            launched: (target.boot_ms > 0.0).then_some(target.boot_ms),
         }
     }
 
@@ -192,6 +196,11 @@
         id
     }
 
+    /// Takes in the end of a call of the counter.
+    pub fn counted(self: &Rc<Self>, name: CountName, counted: Counted) {
+        self.handle(Event::Counted { name, counted });
+    }
+
     /// Wakes the module when its timers are due.
     pub async fn keep_time(self: Rc<Self>) {
         loop {
@@ -252,7 +261,8 @@
                 inner.alarms.push(Reverse((at, token)));
             }
             // The program follows the list from its start, whoever asks.
-            Action::FollowServers | Action::Count { .. } => {}
+            Action::FollowServers => {}
+            Action::Count { name, amount, life } => self.counter.add(name, amount, life),
             Action::Log(text) => log::line(text),
         }
     }
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod clients;
 mod config;
+mod counter;
 mod discovery;
 mod door;
 mod link;
@@ -13,6 +14,7 @@
 use backends::Backends;
 use clients::{Desk, Phase};
 use config::{Config, First};
+use counter::Counter;
 use door::Door;
 use springusher::ListKind;
 use std::process::ExitCode;
@@ -74,8 +76,13 @@
     let closing = Duration::try_from_secs_f64(longest / 1000.0).unwrap_or(CLOSING).min(CLOSING);
 
     let backends = Rc::new(Backends::new(descriptors.clone(), config.connect_timeout, config.idle_timeout));
-    let door = Door::new(config.settings.clone(), config.seed, config.names.zones.clone(), backends.clone())
+    let (counter, line) = Counter::new(config.counter_timeout);
+    let (settings, zones) = (config.settings.clone(), config.names.zones.clone());
+    let door = Door::new(settings, config.seed, zones, backends.clone(), counter)
         .map_err(|error| error.to_string())?;
+    let (counter, seen) = watch::channel(config.counter);
+    let counted = door.clone();
+    spawn_local(line.keep(seen, move |name, end| counted.counted(name, end)));
     door.servers(ListKind::Cached, config.known);
     spawn_local(door.clone().keep_time());
     let (discovery, seen) = watch::channel(config.discovery);
@@ -98,7 +105,10 @@
         tokio::select! {
             _ = terminate.recv() => break,
             _ = reload.recv() => match config::read(First::File) {
-                Ok(config) => drop(discovery.send_replace(config.discovery)),
+                Ok(config) => {
+                    discovery.send_replace(config.discovery);
+                    counter.send_replace(config.counter);
+                }
                 // Guards against half a file: what is in force stays so.
                 Err(problem) => log::line(format!("not reloaded: {problem}")),
             },
