Ask discovery for what is new only, wait for it, and back off with full jitter

Counted over all doors by second, from a log of each call. watch_at() in discovery.rs asked for the whole list again after each failure, in steps of 0.1 to 0.8 s without jitter, and gave up calls after 2 s. Ruled out: too many calls alone as the cause: spread to 13 a second they still failed. With a longer wait for the answer they succeed: the service works on calls that were given up, so that those waiting behind them were lost as well (1.0 to 2.1 s from call to answer). Design: only where the list has to be asked for: the first call is a watch from the version known, a 503 leaves that version in force, the back-off is full jitter over 20 to 100 ms for each door (2 to 10 s with 100), and a call may take 30 ms longer for each of them. With an agent of its own a door does as before.

--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -83,10 +83,12 @@
     let (counter, seen) = watch::channel(config.counter);
     let counted = door.clone();
     spawn_local(line.keep(seen, move |name, end| counted.counted(name, end)));
+    let known = config.known.all.then_some(config.known.rev);
     door.servers(ListKind::Cached, config.known);
     spawn_local(door.clone().keep_time());
     let (discovery, seen) = watch::channel(config.discovery);
-    spawn_local(discovery::follow(seen, door.clone()));
+    let shared_by = if config.settings.list_on_request { config.settings.gateways } else { 0 };
+    spawn_local(discovery::follow(seen, door.clone(), known, shared_by, config.seed));
     let sweeper = backends.clone();
     spawn_local(async move { sweeper.sweep().await });
 
--- a/tests/front_door.rs
+++ b/tests/front_door.rs
@@ -809,6 +809,27 @@
     assert_eq!(client.send(&get("")).read().status(), 429, "no backend is left");
 }
 
+#[test]
+fn a_list_that_has_to_be_asked_for_is_asked_for_from_the_version_known() {
+    let (backend, new, busy) = (Peer::start(), Peer::start(), Peer::start());
+    let mut config = config(busy.address, list(&[target("s-00000001", backend.address, "ready")]));
+    config["settings"]["registryMode"] = json!("on_request");
+    let front = Front::start(&config);
+    // Turned away, it asks again for no more than it lacks.
+    for _ in 0..3 {
+        let call = busy.next();
+        assert_eq!(call.request.line, "GET /v1/servers?after=1&wait_ms=1000 HTTP/1.1");
+        call.answer("503 Service Unavailable", "", "");
+    }
+    let targets = [target("s-00000001", backend.address, "gone"), target("s-00000002", new.address, "ready")];
+    busy.next().ok(&json!({"rev": 5, "all": false, "targets": targets}).to_string());
+    assert_eq!(busy.next().request.line, "GET /v1/servers?after=5&wait_ms=1000 HTTP/1.1");
+    let mut client = front.client();
+    client.send(&get(""));
+    new.next().ok("served");
+    assert_eq!(client.read().status(), 200);
+}
+
 /// A counter that answers each call with the number that the test gives, and tells it of the call.
 fn counter(totals: &'static [u32]) -> (SocketAddr, Receiver<String>) {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
