Let a copy of a request cost ten times what a retry after a failure does

With 18 of 60 servers draining every answer takes long (0.4 s, later 1.1 s), and the retry budget in src/control.rs let 100 doors add 15% to the load just then. Design: one retry budget as before, but an attempt that starts while another may still be at work costs ten; retries after a failure, and those that replace an attempt called off at a server that hangs, cost one.

--- a/src/control.rs
+++ b/src/control.rs
@@ -62,6 +62,9 @@
 const CREW: f64 = 5.0;
 /// Further attempts for each first one: the retry budget.
 const RETRY_SHARE: f64 = 0.15;
+/// What one costs that starts while another may still be at work, in attempts that follow a failure: those
+/// replace work, these add to it, and most of all when servers are slow for want of capacity.
+const COPY_COST: f64 = 10.0;
 /// The part of the wanted time within which a further attempt or a held request must start to be of use.
 const USEFUL: f64 = 0.5;
 
@@ -545,7 +548,8 @@
                 {
                     customer.sends.push_back((self.now, request.units));
                 }
-                self.retry_budget = (self.retry_budget + RETRY_SHARE).min(self.fleet.len() as f64);
+                let most = COPY_COST.max(self.fleet.len() as f64);
+                self.retry_budget = (self.retry_budget + RETRY_SHARE).min(most);
                 self.send(id, server, actions);
             }
         }
@@ -586,7 +590,7 @@
         licensed
             && (self.may_copy(open) || !out)
             && open.attempts.len() < self.settings.max_attempts as usize
-            && self.retry_budget >= 1.0
+            && self.retry_budget >= if out { COPY_COST } else { 1.0 }
             && self.now < open.arrived + class.aim
     }
 
@@ -630,7 +634,8 @@
 
     fn further(&mut self, id: RequestId, actions: &mut Vec<Action>) -> bool {
         let Some(server) = self.choose(id) else { return false };
-        self.retry_budget -= 1.0;
+        let copy = self.requests[&id].attempts.iter().any(|attempt| attempt.out);
+        self.retry_budget -= if copy { COPY_COST } else { 1.0 };
         self.send(id, server, actions);
         true
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -88,3 +88,28 @@
     let sent = send_all(std::slice::from_mut(&mut host), 300);
     assert_eq!(servers_of(&sent, 0).len(), 12);
 }
+
+#[test]
+fn when_every_server_is_slow_copies_of_requests_add_little_to_the_load() {
+    let servers: Vec<_> = (0..SERVERS).map(|n| server(id(n))).collect();
+    let told = |ordinal| Settings { may_duplicate: true, ..told(ordinal) };
+    let (mut first, mut all) = (0, 0);
+    for ordinal in 0..GATEWAYS {
+        let mut host = Host::seeded(told(ordinal), u64::from(ordinal), &servers);
+        for _ in 0..100 {
+            let (request, actions) = host.ask(1, 3, 0);
+            let out = sends(&actions).len();
+            first += out;
+            // Longer than anyone is patient, and still in time.
+            let until = host.now + 200.0;
+            let copies = sends(&host.run_timers(until)).len();
+            all += out + copies;
+            for attempt in 0..out + copies {
+                host.end(request, attempt as u8, Outcome::Ok, None);
+            }
+        }
+    }
+    assert!(first > 5_000, "{first}");
+    assert!(all > first, "no copy at all: a server that hangs holds its requests for good");
+    assert!(all <= first + first / 40, "{} copies of {first}", all - first);
+}
