Fit watches and their back-off into the drain grace, so that silence is noticed in time

Of 231 doors that came through the outage none got an answer to a call made before 9.95 s: the agent swallows what it gets while it is silent, and what it has at its return counts at once. Ruled out: a slow agent (every answered call took 6 ms at most), a slow module (sends stop with the list in hand), calls that are answered late (none was). At fault: watch_at() in discovery.rs waited 2 s for any answer and then up to 0.8 s, so that a door was deaf for up to 2.8 s after the return, with 1 s of grace. Chosen: with an agent of its own, the wait, what is borne beyond it and the pauses are parts of the settings' drain grace, together under three quarters of it; a call for the whole list is not given a watch's wait. The tests of the rhythm fail on the old constants.

--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -15,6 +15,7 @@
 use clients::{Desk, Phase};
 use config::{Config, First};
 use counter::Counter;
+use discovery::Service;
 use door::Door;
 use springusher::ListKind;
 use std::process::ExitCode;
@@ -87,8 +88,13 @@
     door.servers(ListKind::Cached, config.known);
     spawn_local(door.clone().keep_time());
     let (discovery, seen) = watch::channel(config.discovery);
-    let shared_by = if config.settings.list_on_request { config.settings.gateways } else { 0 };
-    spawn_local(discovery::follow(seen, door.clone(), known, shared_by, config.seed));
+    let service = match &config.settings {
+        settings if settings.list_on_request => Service::Shared { doors: settings.gateways },
+        settings => Service::Own {
+            grace: Duration::try_from_secs_f64(settings.drain_grace / 1000.0).unwrap_or(Duration::MAX),
+        },
+    };
+    spawn_local(discovery::follow(seen, door.clone(), known, service, config.seed));
     let sweeper = backends.clone();
     spawn_local(async move { sweeper.sweep().await });
 
