Take no changes to another list than the one held: ask for the whole list instead

Seen by reading: watch_at() in discovery.rs took any answer to a watch for changes to the list held, also one of a lower version, as an agent gives that began anew: the list held would be mixed with another one's changes, and stay wrong. Ruled out: that it is kept right elsewhere: the module applies what it is given. Chosen: an answer with changes to a version below the one held is put aside, and the next call asks for the whole list. The new test reads 'after=2' in place of a call for the whole list without the mend.

--- a/src/bin/brassport/discovery.rs
+++ b/src/bin/brassport/discovery.rs
@@ -194,9 +194,13 @@
         let call = ask(&mut link, address, last, rhythm.wait);
         match timeout(rhythm.patience(last.is_some()), call).await {
             Ok(Told::List(list)) => {
-                last = Some(list.rev);
+                // Changes to a version older than the one held are changes to another list.
+                let based = list.all || last.is_some_and(|held| held <= list.rev);
+                last = based.then_some(list.rev);
                 rhythm.reset();
-                door.servers(if list.all { ListKind::Full } else { ListKind::Delta }, list);
+                if based {
+                    door.servers(if list.all { ListKind::Full } else { ListKind::Delta }, list);
+                }
                 sleep(PACE).await;
             }
             Ok(Told::Busy) => {
--- a/tests/front_door.rs
+++ b/tests/front_door.rs
@@ -813,6 +813,32 @@
     assert_eq!(client.send(&get("")).read().status(), 429, "no backend is left");
 }
 
+#[test]
+fn changes_to_another_list_than_the_one_held_are_not_taken_for_changes_to_it() {
+    let (backend, agent) = (Peer::start(), Peer::start());
+    let held = list(&[target("s-00000001", backend.address, "ready")]);
+    let front = Front::start(&config(agent.address, held.clone()));
+    let mut whole = held;
+    whole["rev"] = json!(41);
+    let call = agent.next();
+    assert_eq!(call.request.line, "GET /v1/servers HTTP/1.1");
+    call.ok(&whole.to_string());
+    let call = agent.next();
+    assert_eq!(call.request.line, "GET /v1/servers?after=41&wait_ms=1000 HTTP/1.1");
+    // The agent began anew and numbers from 1 again.
+    let gone = [target("s-00000001", backend.address, "gone")];
+    call.ok(&json!({"rev": 2, "all": false, "targets": gone}).to_string());
+    let call = agent.next();
+    assert_eq!(call.request.line, "GET /v1/servers HTTP/1.1", "the whole list is asked for");
+    let mut client = front.client();
+    client.send(&get(""));
+    backend.next().ok("served");
+    assert_eq!(client.read().status(), 200);
+    call.ok(&list(&[]).to_string());
+    assert_eq!(agent.next().request.line, "GET /v1/servers?after=1&wait_ms=1000 HTTP/1.1");
+    assert_eq!(client.send(&get("")).read().status(), 429, "no backend is left");
+}
+
 #[test]
 fn a_list_that_has_to_be_asked_for_is_asked_for_from_the_version_known() {
     let (backend, new, busy) = (Peer::start(), Peer::start(), Peer::start());
