Ask the system whether something stands unread before a connection is used again

Seen by reading and in a small probe: between two looks of the runtime at its sockets, Link::is_usable() in link.rs saw nothing of an end, a second answer or noise that had come behind an answer, and the next request on that connection was served with it. Ruled out: that hyper sees it: its poll asks the runtime, which has cleared the socket's readiness with the last answer. A look by the runtime first would cost a turn a request.

--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -10,6 +10,7 @@
 mod door;
 mod link;
 mod log;
+mod socket;
 
 use backends::Backends;
 use clients::{Desk, Phase};
--- /dev/null
+++ b/src/bin/brassport/socket.rs
@@ -0,0 +1,91 @@
+//! A TCP socket that more than one part of the program may look at: whoever reads from it, and whoever has
+//! to know whether something stands unread in it.
+
+use socket2::SockRef;
+use std::io::{self, ErrorKind, IoSlice};
+use std::net::Shutdown;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+#[derive(Debug, Clone)]
+pub struct Socket(Rc<TcpStream>);
+
+impl Socket {
+    pub fn new(stream: TcpStream) -> Socket {
+        Socket(Rc::new(stream))
+    }
+
+    /// Whether nothing stands in it: no byte, no end, no error. It asks the system: what the runtime knows
+    /// of a socket is as old as its last look at all of them.
+    pub fn is_quiet(&self) -> bool {
+        let socket = SockRef::from(&*self.0);
+        let peeked = loop {
+            match socket.peek(&mut [std::mem::MaybeUninit::uninit()]) {
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                peeked => break peeked,
+            }
+        };
+        matches!(peeked, Err(error) if error.kind() == ErrorKind::WouldBlock)
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.poll_read_ready(context))?;
+            match self.0.try_read(buffer.initialize_unfilled()) {
+                Ok(count) => {
+                    buffer.advance(count);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(context))?;
+            match self.0.try_write(bytes) {
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(context))?;
+            match self.0.try_write_vectored(bytes) {
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(match SockRef::from(&*self.0).shutdown(Shutdown::Write) {
+            // Its peer has closed it before.
+            Err(error) if error.kind() == ErrorKind::NotConnected => Ok(()),
+            done => done,
+        })
+    }
+}
