Notice a client's leave behind bytes of further requests, before its request is sent on

Seen by reading: hyper looks for a client's end while a request is in hand only if its buffer is empty. A client that had sent more and then left was served on: its request went out on a connection that came up a second after the leave (test: the whole POST is written). Ruled out: held for a place under a plan's cap, waiting for the counter, waiting for a connection with nothing buffered: in each of them the leave is noticed; tested now. Chosen: while a request is in hand its own task reads ahead, at most 16 KiB, and hands that to the connection afterwards; the end of the client ends the request.

--- a/src/bin/brassport/callers.rs
+++ b/src/bin/brassport/callers.rs
@@ -22,6 +22,8 @@
 const LEAST_IDLE: Duration = Duration::from_millis(300);
 /// A client that has sent nothing for that long is not about to.
 const SHY: Duration = Duration::from_millis(100);
+/// Most bytes that are read ahead of their use.
+const AHEAD_LIMIT: usize = 16 * 1024;
 /// How long what a client is still sending is read, so that it finds the answer it was given before.
 const LINGER: Duration = Duration::from_millis(2000);
 
@@ -207,11 +209,32 @@
 pub struct Wire {
     stream: Socket,
     caller: Rc<Caller>,
+    /// What was read while a request was in hand, for whoever reads on.
+    ahead: Ahead,
+}
+
+/// Bytes read ahead of their use.
+pub type Ahead = Rc<RefCell<Vec<u8>>>;
+
+/// Waits until the client has gone. Guards against a leave that stands behind bytes of further requests:
+/// whoever serves the connection reads none of it before the request in hand is answered. Of a client that
+/// sends too much ahead it is not known.
+pub async fn gone(socket: &Socket, ahead: &Ahead) {
+    loop {
+        let room = AHEAD_LIMIT.saturating_sub(ahead.borrow().len());
+        if room == 0 {
+            return std::future::pending().await;
+        }
+        match socket.read_some(room, ahead).await {
+            Ok(count) if count > 0 => {}
+            _ => return,
+        }
+    }
 }
 
 impl Wire {
-    pub fn new(stream: Socket, caller: Rc<Caller>) -> Wire {
-        Wire { stream, caller }
+    pub fn new(stream: Socket, caller: Rc<Caller>, ahead: Ahead) -> Wire {
+        Wire { stream, caller, ahead }
     }
 
     /// Ends the sending, then reads what still comes until the client ends too, for a bounded time. Guards
@@ -235,7 +258,18 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let read = {
+            let this = &mut *self;
+            let mut ahead = this.ahead.borrow_mut();
+            if ahead.is_empty() {
+                Pin::new(&mut this.stream).poll_read(context, buffer)
+            } else {
+                let count = ahead.len().min(buffer.remaining());
+                buffer.put_slice(&ahead[..count]);
+                ahead.drain(..count);
+                Poll::Ready(Ok(()))
+            }
+        };
         if buffer.filled().len() > before {
             self.caller.heard();
         }
--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -1,7 +1,7 @@
 //! The clients' side: accepts connections, reads requests, checks them and writes the answers.
 
 use crate::backends::{Backends, Message, BODY_LIMIT};
-use crate::callers::{Caller, Callers, Stage, Wire};
+use crate::callers::{gone, Ahead, Caller, Callers, Stage, Wire};
 use crate::config::Names;
 use crate::door::{Answer, Door};
 use crate::socket::Socket;
@@ -15,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use springusher::{Effect, Settings};
 use std::convert::Infallible;
+use std::future::Future;
 use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -150,15 +151,17 @@
     let _ = stream.set_nodelay(true);
     let caller = Rc::new(caller);
     let socket = Socket::new(stream);
-    let wire = Wire::new(socket.clone(), caller.clone());
+    let ahead = Ahead::default();
+    let wire = Wire::new(socket.clone(), caller.clone(), ahead.clone());
     let service = service_fn(|request| {
         caller.stage(Stage::Open);
         let (desk, caller) = (desk.clone(), caller.clone());
+        let (socket, ahead) = (socket.clone(), ahead.clone());
         async move {
             let response = if crowded {
                 Err(refusal(desk.settings.max_retry_after))
             } else {
-                answer(&desk, request, caller.asking_until()).await
+                answer(&desk, request, caller.asking_until(), gone(&socket, &ahead)).await
             };
             caller.stage(if response.is_err() { Stage::Last } else { Stage::Idle });
             let last = response.is_err() || *desk.phase.borrow() != Phase::Serving;
@@ -197,11 +200,12 @@
 }
 
 /// The answer to a request; an error if its connection must not be used again. `asked_by` is when all of the
-/// request must have come.
+/// request must have come, and `gone` ends when its client has left.
 async fn answer(
     desk: &Desk,
     request: Request<Incoming>,
     asked_by: Instant,
+    gone: impl Future<Output = ()>,
 ) -> Result<Response<Full<Bytes>>, Response<Full<Bytes>>> {
     let came = Instant::now();
     // Guards against a request hidden in another's body: hyper takes out a Content-Length that stands beside
@@ -239,7 +243,12 @@
     let Some(ticket) = desk.door.admit(asked.request, asked.id, message, deadline) else {
         return Err(text(StatusCode::CONFLICT, "a request of this id is open"));
     };
-    Ok(match ticket.answer(deadline).await {
+    let answer = tokio::select! {
+        biased;
+        answer = ticket.answer(deadline) => answer,
+        () = gone => return Err(text(StatusCode::BAD_REQUEST, "its client has gone")),
+    };
+    Ok(match answer {
         Answer::Served(served) => {
             let (head, body) = served.into_parts();
             let mut response = Response::new(Full::new(body));
--- a/src/bin/brassport/socket.rs
+++ b/src/bin/brassport/socket.rs
@@ -2,6 +2,7 @@
 //! to know whether something stands unread in it.
 
 use socket2::SockRef;
+use std::cell::RefCell;
 use std::io::{self, ErrorKind, IoSlice};
 use std::net::Shutdown;
 use std::pin::Pin;
@@ -18,6 +19,22 @@
         Socket(Rc::new(stream))
     }
 
+    /// Reads what has come, `most` bytes at the most, behind what `bytes` holds; waits until something has.
+    pub async fn read_some(&self, most: usize, bytes: &RefCell<Vec<u8>>) -> io::Result<usize> {
+        loop {
+            self.0.readable().await?;
+            let mut bytes = bytes.borrow_mut();
+            let before = bytes.len();
+            bytes.resize(before + most, 0);
+            let read = self.0.try_read(&mut bytes[before..]);
+            bytes.truncate(before + *read.as_ref().unwrap_or(&0));
+            match read {
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                read => return read,
+            }
+        }
+    }
+
     /// Whether nothing stands in it: no byte, no end, no error. It asks the system: what the runtime knows
     /// of a socket is as old as its last look at all of them.
     pub fn is_quiet(&self) -> bool {
--- a/tests/front_door/clients.rs
+++ b/tests/front_door/clients.rs
@@ -3,7 +3,11 @@
 use crate::peers::*;
 use serde_json::json;
 use serde_json::Value;
+use std::io::BufRead;
+use std::io::BufReader;
 use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::TcpListener;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -33,6 +37,78 @@
     assert_eq!(String::from_utf8_lossy(&stuck.open()), "");
 }
 
+#[test]
+fn a_leave_is_noticed_behind_bytes_of_further_requests() {
+    let stuck = Stuck::start();
+    let mut config = config(closed_port(), list(&[target("s-00000001", stuck.address, "ready")]));
+    config["settings"]["bounds"]["connectTimeout"] = json!(30_000.0);
+    let front = Front::start(&config);
+    let mut client = front.client();
+    // More comes with the request, and more again while it waits for its connection.
+    client.send(&(post("a job") + &get("/next")[..40]));
+    stuck.wait_for_connect();
+    client.send(&get("/next")[40..]);
+    client.send(&post("another"));
+    drop(client);
+    assert_eq!(String::from_utf8_lossy(&stuck.open()), "");
+}
+
+#[test]
+fn nothing_is_sent_for_a_client_that_has_gone_while_it_was_held_for_a_place() {
+    let backend = Peer::start();
+    let mut config = config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]));
+    config["settings"]["plans"][0]["concurrency"] = json!(1);
+    let front = Front::start(&config);
+    let mut first = front.client();
+    first.send(&post("first"));
+    let in_hand = backend.next();
+    let (mut gone, mut last) = (front.client(), front.client());
+    let held = post("held");
+    gone.send(&held);
+    // It is in hand once its id is busy.
+    let until = Instant::now() + PATIENCE;
+    while front.client().send(&held).read().status() != 409 {
+        assert!(Instant::now() < until, "it never comes in hand");
+    }
+    drop(gone);
+    last.send(&post("last"));
+    // Both have been taken in when one that came after them is answered.
+    let ask = "GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n";
+    assert_eq!(front.client().send(ask).read().status(), 200);
+    in_hand.ok("");
+    assert_eq!(first.read().status(), 200);
+    let next = backend.next();
+    assert_eq!(next.request.body, b"last", "the one that left is not sent on");
+    next.ok("");
+    assert_eq!(last.read().status(), 200);
+}
+
+#[test]
+fn nothing_is_sent_for_a_client_that_has_gone_while_the_counter_was_asked() {
+    let (backend, counter) = (Peer::start(), TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port"));
+    let mut config = config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]));
+    config["counter"] = json!(counter.local_addr().expect("an address").to_string());
+    config["settings"]["balancers"] = json!(2);
+    config["settings"]["plans"][0]["concurrency"] = json!(2);
+    let family = &mut config["settings"]["familyInfo"];
+    (family["counter"], family["counterTimeout"]) = (json!(true), json!(250.0));
+    let front = Front::start(&config);
+    let mut gone = front.client();
+    gone.send(&post("gone").replace("spread=1", "spread=2"));
+    let (line, _) = counter.accept().expect("the front door asks");
+    let mut calls = BufReader::new(&line).lines();
+    assert!(calls.next().expect("a call").expect("a line").ends_with(" 1 8000"));
+    drop(gone);
+    // It is never answered; when its time is up, the place that may have been taken is given back.
+    assert!(calls.next().expect("a call").expect("a line").ends_with(" -1 8000"));
+    let mut client = front.client();
+    client.send(&post("marker"));
+    let next = backend.next();
+    assert_eq!(next.request.body, b"marker");
+    next.ok("");
+    assert_eq!(client.read().status(), 200);
+}
+
 #[test]
 fn a_client_that_goes_while_its_request_runs_disturbs_no_other() {
     let backend = Peer::start();
