Hold the window of a keyed repeat at the moment of its write, not of the choice

Seen by reading: may_try_again() in control.rs asks whether the servers still drop a repeat, but the attempt may begin a slow connect later (test: with a window of 1.5 s and a connection that comes up after 3 s the request is written a second time). Ruled out: that the settings forbid it: nothing binds the window to the connect time-out, and the other bound, the aim, is at the choice as well. A zone or cell can't change under an id; first.sent is the choice of the first attempt, and so early rather than late. Chosen: Action::Send carries until when it may begin; the check that keeps an attempt from a draining backend after a slow connect holds it.

--- a/src/bin/brassport/backends.rs
+++ b/src/bin/brassport/backends.rs
@@ -130,7 +130,7 @@
     }
 
     /// One attempt. It is over, and its socket closed or idle again, when this returns. `wanted` tells
-    /// whether the request still waits for an answer, `cancel` calls the attempt off.
+    /// whether the request still waits for an answer and may still be sent, `cancel` calls the attempt off.
     pub async fn attempt(
         &self,
         id: ServerId,
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -233,15 +233,16 @@
     /// What an action names and is no longer in hand was answered meanwhile: it is passed over.
     fn carry_out(self: &Rc<Self>, inner: &mut Inner, action: Action) {
         match action {
-            Action::Send { request, server, expire_at } => {
+            Action::Send { request, server, expire_at, start_by } => {
                 let Some(hand) = inner.requests.get_mut(&request) else { return };
                 let expire_at =
                     expire_at.map_or(hand.deadline, |at| self.clock.instant(at).min(hand.deadline));
                 let (cancel, cancelled) = oneshot::channel();
                 let number = hand.attempts.len() as u8;
                 hand.attempts.push(Some(cancel));
+                let times = (start_by, expire_at);
                 let attempt =
-                    self.clone().attempt(request, number, server, hand.message.clone(), expire_at, cancelled);
+                    self.clone().attempt(request, number, server, hand.message.clone(), times, cancelled);
                 tokio::task::spawn_local(attempt);
             }
             Action::Refuse { request, retry_after } => inner.answer(request, Answer::Refused(retry_after)),
@@ -273,11 +274,14 @@
         attempt: u8,
         server: ServerId,
         message: Rc<Message>,
-        expire_at: Instant,
+        (start_by, expire_at): (Millis, Instant),
         cancelled: oneshot::Receiver<()>,
     ) {
         let sent = self.clock.now();
-        let wanted = || self.inner.borrow().requests.get(&request).is_some_and(|hand| hand.answer.is_some());
+        let wanted = || {
+            let waits = |hand: &InHand| hand.answer.is_some();
+            self.clock.now() < start_by && self.inner.borrow().requests.get(&request).is_some_and(waits)
+        };
         // A sender that is dropped without a word cancels nothing.
         let cancel = async {
             if cancelled.await.is_err() {
--- a/src/control.rs
+++ b/src/control.rs
@@ -89,6 +89,17 @@
     done: bool,
 }
 
+impl Open {
+    /// Until when a further attempt may begin, as far as what it might repeat goes.
+    fn licensed_until(&self, effect: Effect) -> Millis {
+        match (effect, self.attempts.iter().find(|attempt| attempt.may_have_run)) {
+            (_, None) | (Effect::Free, _) => f64::INFINITY,
+            (Effect::Once, Some(_)) => f64::NEG_INFINITY,
+            (Effect::Keyed { window, .. }, Some(first)) => first.sent + window,
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct Customer {
     plan: usize,
@@ -558,13 +569,15 @@
     fn send(&mut self, id: RequestId, to: ServerId, actions: &mut Vec<Action>) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(entry) = self.fleet.entry(to) else { return };
+        let effect = self.settings.classes[open.request.class].effect;
+        let start_by = open.licensed_until(effect) - 2.0 * self.settings.tick;
         self.fleet.began(to, self.now);
         open.held = false;
         open.attempts.push(Attempt { to: entry, sent: self.now, out: true, may_have_run: true });
         if let Some(customer) = self.customers.get_mut(&open.request.customer) {
             customer.open += 1;
         }
-        actions.push(Action::Send { request: id, server: to, expire_at: None });
+        actions.push(Action::Send { request: id, server: to, expire_at: None, start_by });
         let class = open.request.class;
         let patience = (PATIENCE * self.answer_time[class]).min(USEFUL * self.settings.classes[class].aim);
         actions.push(Action::Timer { at: self.now + patience, token: (id << 2) + REVIEW });
@@ -578,16 +591,8 @@
     /// Whether a further attempt is allowed by the class, the settings and the retry budget, and of use.
     fn may_try_again(&self, open: &Open) -> bool {
         let class = &self.settings.classes[open.request.class];
-        let ran = open.attempts.iter().find(|attempt| attempt.may_have_run);
         let out = open.attempts.iter().any(|attempt| attempt.out);
-        let licensed = match (class.effect, ran) {
-            (_, None) | (Effect::Free, _) => true,
-            (Effect::Once, Some(_)) => false,
-            (Effect::Keyed { window, .. }, Some(first)) => {
-                self.now < first.sent + window - 2.0 * self.settings.tick
-            }
-        };
-        licensed
+        self.now < open.licensed_until(class.effect) - 2.0 * self.settings.tick
             && (self.may_copy(open) || !out)
             && open.attempts.len() < self.settings.max_attempts as usize
             && self.retry_budget >= if out { COPY_COST } else { 1.0 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -378,6 +378,9 @@
         server: ServerId,
         /// When to give the attempt up; `None`: when the client does.
         expire_at: Option<Millis>,
+        /// From when on it must not begin any more, so on a connection that came up too late: what it
+        /// repeats may have run, and would run again. Infinite if it repeats nothing.
+        start_by: Millis,
     },
     /// Final answer: refused; trying again is harmless.
     Refuse {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -368,7 +368,7 @@
     /// Adds an action of an instance.
     pub fn push(&mut self, instance: u16, action: &Action) {
         match action {
-            Action::Send { request, server, expire_at } => self.record(91, instance, |out| {
+            Action::Send { request, server, expire_at, .. } => self.record(91, instance, |out| {
                 out.extend(request.to_be_bytes());
                 out.extend(server.to_be_bytes());
                 out.extend(expire_at.unwrap_or(0.0).to_be_bytes());
--- a/tests/front_door/backends.rs
+++ b/tests/front_door/backends.rs
@@ -1,6 +1,7 @@
 //! Attempts at backends, their answers and the connections to them.
 
 use crate::peers::*;
+use serde_json::json;
 use std::io::Write;
 use std::net::Shutdown;
 use std::thread;
@@ -173,3 +174,26 @@
     exchange.ok("from the other");
     assert_eq!(client.read().body, b"from the other");
 }
+
+#[test]
+fn a_keyed_request_is_not_repeated_on_a_connection_that_comes_up_when_its_window_is_over() {
+    let (backend, stuck) = (Peer::start(), Stuck::start());
+    let mut far = target("s-00000002", stuck.address, "ready");
+    // Of two that are alike the one in the own zone comes first.
+    far["az"] = json!("b");
+    let known = list(&[target("s-00000001", backend.address, "ready"), far]);
+    let mut config = config(closed_port(), known);
+    config["settings"]["bounds"]["connectTimeout"] = json!(30_000.0);
+    let class = &mut config["settings"]["classes"][1];
+    (class["semantics"], class["dedupWindow"]) = (json!("guarded"), json!(1500.0));
+    (class["slo"], class["deadline"]) = (json!(12_000.0), json!(12_000.0));
+    let front = Front::start(&config);
+    let mut client = front.client();
+    client.send(&post("a job").replace("4000m", "12000m").replace("Host:", "Idempotency-Key: 7\r\nHost:"));
+    backend.next().break_off("");
+    stuck.wait_for_connect();
+    thread::sleep(Duration::from_millis(1600));
+    // Servers have forgotten the key by now.
+    assert_eq!(String::from_utf8_lossy(&stuck.open()), "");
+    assert_eq!(client.read().status(), 504, "it may have run, and is not sent again");
+}
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -227,7 +227,7 @@
 #[test]
 fn actions_are_encoded() {
     let mut reply = Reply::default();
-    reply.push(3, &Action::Send { request: 9, server: 7, expire_at: Some(2.0) });
+    reply.push(3, &Action::Send { request: 9, server: 7, expire_at: Some(2.0), start_by: f64::INFINITY });
     reply.push(3, &Action::Timer { at: 4.0, token: 11 });
     reply.push(3, &Action::Refuse { request: 9, retry_after: 8.0 });
     reply.push(3, &Action::Fail(9));
