--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -1,9 +1,10 @@
 //! The clients' side: accepts connections, reads requests, checks them and writes the answers.
 
 use crate::backends::{Backends, Message, BODY_LIMIT};
-use crate::callers::{Caller, Callers, Stage, Wire};
+use crate::callers::{gone, Ahead, Caller, Callers, Stage, Wire};
 use crate::config::Names;
 use crate::door::{Answer, Door};
+use crate::socket::Socket;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -14,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use springusher::{Effect, Settings};
 use std::convert::Infallible;
+use std::future::Future;
 use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -21,7 +23,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinSet;
-use tokio::time::{interval, sleep, timeout_at, Instant, MissedTickBehavior};
+use tokio::time::{interval, sleep, timeout, timeout_at, Instant, MissedTickBehavior};
 
 /// A client's time runs from when it sent the request to when it has the whole answer: so much is kept back
 /// for the way here and back.
@@ -36,6 +38,8 @@
 const HEAD_LIMIT: usize = 16 * 1024;
 /// Between two looks for connections whose time is up.
 const SWEEP: Duration = Duration::from_millis(100);
+/// How long the rest of an answer may take on a connection that is to close.
+const LAST_ANSWER: Duration = Duration::from_secs(2);
 /// After a failed accept.
 const BACK_OFF: Duration = Duration::from_millis(20);
 /// Customers are numbers below this.
@@ -60,13 +64,15 @@
 ];
 
 /// How far a shutdown has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd)]
 pub enum Phase {
     Serving,
     /// Clients still come; each answer closes its connection.
     Leaving,
-    /// No more are accepted, and idle connections are closed.
+    /// Connections that nobody asks on are closed. Who comes all the same is served.
     Closing,
+    /// Time is up: whoever asks is refused.
+    Ended,
 }
 
 /// What every connection needs.
@@ -80,7 +86,8 @@
     pub bodies: Semaphore,
 }
 
-/// Accepts clients until the shutdown closes the door, then returns once every connection has ended.
+/// Accepts clients, and returns once the shutdown closes the door and every connection has ended. Guards
+/// against requests in the backlog: the listener stays open until then.
 pub async fn serve(listener: TcpListener, desk: Rc<Desk>, descriptors: Arc<Semaphore>) {
     let reserve = RESERVE.min(descriptors.available_permits() / RESERVE_PART);
     let few = descriptors.available_permits() / FEW_PART;
@@ -95,8 +102,8 @@
         }
         true
     };
-    let mut phase = desk.phase.clone();
     let mut connections = JoinSet::new();
+    let mut empty_before = false;
     let mut sweeps = interval(SWEEP);
     sweeps.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -108,11 +115,10 @@
             Ok::<_, io::Error>((stream, descriptor))
         };
         tokio::select! {
-            _ = phase.wait_for(|phase| *phase == Phase::Closing) => break,
-            _ = sweeps.tick() => callers.sweep(few),
             Some(_) = connections.join_next() => {}
             next = next => match next {
                 Ok((stream, descriptor)) => {
+                    empty_before = false;
                     let crowded = !spare(reserve);
                     let caller = callers.enter();
                     connections.spawn_local(connection(stream, descriptor, desk.clone(), crowded, caller));
@@ -120,10 +126,18 @@
                 // Guards against a spin where the system is out of descriptors or the like.
                 Err(_) => sleep(BACK_OFF).await,
             },
+            _ = sweeps.tick() => {
+                let closing = *desk.phase.borrow() >= Phase::Closing;
+                let empty = closing && connections.is_empty();
+                // What stood in the backlog at one look has been accepted by the next.
+                if empty && empty_before {
+                    return;
+                }
+                empty_before = empty;
+                callers.sweep(few, closing);
+            }
         }
     }
-    drop(listener);
-    while connections.join_next().await.is_some() {}
 }
 
 /// Serves one client's connection to its end. One that came while all others were busy gets refusals.
@@ -136,16 +150,18 @@
 ) {
     let _ = stream.set_nodelay(true);
     let caller = Rc::new(caller);
-    let wire = Wire::new(stream, caller.clone());
-    let mut phase = desk.phase.clone();
+    let socket = Socket::new(stream);
+    let ahead = Ahead::default();
+    let wire = Wire::new(socket.clone(), caller.clone(), ahead.clone());
     let service = service_fn(|request| {
         caller.stage(Stage::Open);
         let (desk, caller) = (desk.clone(), caller.clone());
+        let (socket, ahead) = (socket.clone(), ahead.clone());
         async move {
             let response = if crowded {
                 Err(refusal(desk.settings.max_retry_after))
             } else {
-                answer(&desk, request, caller.asking_until()).await
+                answer(&desk, request, caller.asking_until(), gone(&socket, &ahead)).await
             };
             caller.stage(if response.is_err() { Stage::Last } else { Stage::Idle });
             let last = response.is_err() || *desk.phase.borrow() != Phase::Serving;
@@ -158,17 +174,18 @@
     });
     let mut serving =
         http1::Builder::new().max_buf_size(HEAD_LIMIT).serve_connection(TokioIo::new(wire), service);
-    let mut closing = false;
-    let ended = loop {
-        tokio::select! {
-            ended = &mut serving => break ended,
-            _ = phase.wait_for(|phase| *phase == Phase::Closing), if !closing => {
-                // An idle one closes now, a busy one behind its answer.
-                closing = true;
-                std::pin::Pin::new(&mut serving).graceful_shutdown();
+    let ended = tokio::select! {
+        biased;
+        ended = &mut serving => ended,
+        in_order = caller.dismissed(&socket) => {
+            if !in_order {
+                // Nobody waits for an answer on it.
+                return;
             }
-            // Nobody waits for an answer on it.
-            () = caller.dismissed() => return,
+            // Its last answer may still be on its way out.
+            std::pin::Pin::new(&mut serving).graceful_shutdown();
+            let Ok(ended) = timeout(LAST_ANSWER, &mut serving).await else { return };
+            ended
         }
     };
     // Its client has gone, or what it sent is no HTTP and was answered so; else it was closed in order.
@@ -177,17 +194,18 @@
         tokio::select! {
             () = serving.into_parts().io.into_inner().linger() => {}
             // Others need its descriptor more.
-            () = caller.dismissed() => {}
+            _ = caller.dismissed(&socket) => {}
         }
     }
 }
 
 /// The answer to a request; an error if its connection must not be used again. `asked_by` is when all of the
-/// request must have come.
+/// request must have come, and `gone` ends when its client has left.
 async fn answer(
     desk: &Desk,
     request: Request<Incoming>,
     asked_by: Instant,
+    gone: impl Future<Output = ()>,
 ) -> Result<Response<Full<Bytes>>, Response<Full<Bytes>>> {
     let came = Instant::now();
     // Guards against a request hidden in another's body: hyper takes out a Content-Length that stands beside
@@ -207,17 +225,30 @@
     let length = length.ok_or_else(|| text(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"))?;
     let room = desk.bodies.try_acquire_many(length as u32);
     let _room = room.map_err(|_| refusal(desk.settings.max_retry_after))?;
-    let body = match timeout_at(asked_by, body.collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(_)) => return Err(text(StatusCode::BAD_REQUEST, "the body is broken")),
-        Err(_) => return Err(text(StatusCode::REQUEST_TIMEOUT, "the body did not come")),
+    let mut phase = desk.phase.clone();
+    let body = tokio::select! {
+        biased;
+        // What is taken in from here on would be given up unanswered.
+        _ = phase.wait_for(|phase| *phase == Phase::Ended) => {
+            return Err(refusal(desk.settings.max_retry_after));
+        }
+        body = timeout_at(asked_by, body.collect()) => match body {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(_)) => return Err(text(StatusCode::BAD_REQUEST, "the body is broken")),
+            Err(_) => return Err(text(StatusCode::REQUEST_TIMEOUT, "the body did not come")),
+        },
     };
     let deadline = came + asked.patience.saturating_sub(MARGIN);
     let message = Message { method: head.method, uri: asked.uri, headers: pass_on(head.headers), body };
     let Some(ticket) = desk.door.admit(asked.request, asked.id, message, deadline) else {
         return Err(text(StatusCode::CONFLICT, "a request of this id is open"));
     };
-    Ok(match ticket.answer(deadline).await {
+    let answer = tokio::select! {
+        biased;
+        answer = ticket.answer(deadline) => answer,
+        () = gone => return Err(text(StatusCode::BAD_REQUEST, "its client has gone")),
+    };
+    Ok(match answer {
         Answer::Served(served) => {
             let (head, body) = served.into_parts();
             let mut response = Response::new(Full::new(body));
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -10,6 +10,7 @@
 mod door;
 mod link;
 mod log;
+mod socket;
 
 use backends::Backends;
 use clients::{Desk, Phase};
@@ -126,6 +127,7 @@
     sleep(LEAVING).await;
     phase.send_replace(Phase::Closing);
     if timeout(closing.saturating_sub(LAST_WORDS), &mut serving).await.is_err() {
+        phase.send_replace(Phase::Ended);
         door.fail_all();
         let _ = timeout(LAST_WORDS, &mut serving).await;
     }
