Take names in any letters, and a keyed request only with its key

Chosen: bytes are compared, the path's first part decoded; no key, no taking; what is missing of a keyed class is taken at its worst. Without the mend both new tests fail.

--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -13,6 +13,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use percent_encoding::percent_decode_str;
 use springusher::{Effect, Settings};
 use std::convert::Infallible;
 use std::future::Future;
@@ -47,7 +48,8 @@
 /// Most bytes of a request's id.
 const ID_LIMIT: usize = 128;
 /// Headers that say what is asked.
-const OURS: [&str; 7] = ["x-request-id", "x-class", "plan", "cookie", "x-deadline", "quota-info", "x-retry"];
+const OURS: [&str; 8] =
+    ["x-request-id", "x-class", "plan", "cookie", "x-deadline", "quota-info", "x-retry", "idempotency-key"];
 /// Headers that speak of one connection, or of this front door's own business, and go no further.
 const NOT_PASSED_ON: [HeaderName; 11] = [
     header::CONNECTION,
@@ -312,16 +314,26 @@
     let id = field("x-request-id").filter(|id| (1..=ID_LIMIT).contains(&id.len()));
     let id = id.filter(|id| id.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte)));
     let id = id.ok_or("X-Request-Id is missing or no id")?.to_string();
-    let index = |names: &[String], name| names.iter().position(|known| Some(known.as_str()) == name);
-    let class = index(&desk.names.classes, field("x-class")).ok_or("X-Class names no class")?;
-    if head.uri.path().split('/').nth(1) != Some(&desk.names.classes[class]) {
+    // Names are the settings' own and may be written in any letters: bytes are compared.
+    let index = |names: &[String], field: &str| {
+        let name = head.headers.get(field)?.as_bytes().trim_ascii();
+        names.iter().position(|known| known.as_bytes() == name)
+    };
+    let class = index(&desk.names.classes, "x-class").ok_or("X-Class names no class")?;
+    let first = head.uri.path().split('/').nth(1).unwrap_or_default();
+    if !percent_decode_str(first).eq(desk.names.classes[class].bytes()) {
         return Err("the path does not begin with the class");
     }
     // The method follows from the class: a request that may be sent again must be one that says so itself.
     if (desk.settings.classes[class].effect == Effect::Free) != (head.method == Method::GET) {
         return Err("the method is not the class's");
     }
-    let plan = index(&desk.names.plans, field("plan")).ok_or("Plan names no plan")?;
+    // Guards against a second run: what has no key is not dropped when it is sent again.
+    let keyed = matches!(desk.settings.classes[class].effect, Effect::Keyed { .. });
+    if keyed && field("idempotency-key").is_none_or(str::is_empty) {
+        return Err("the class wants an Idempotency-Key");
+    }
+    let plan = index(&desk.names.plans, "plan").ok_or("Plan names no plan")?;
     let customer = field("cookie").and_then(customer).ok_or("the cookie names no client")?;
     let most = Duration::from_secs_f64(desk.settings.classes[class].deadline / 1000.0);
     let patience = field("x-deadline").and_then(span).ok_or("X-Deadline is no length of time")?.min(most);
--- a/src/bin/brassport/config.rs
+++ b/src/bin/brassport/config.rs
@@ -115,7 +115,10 @@
 struct ToldClass {
     name: String,
     semantics: Semantics,
+    /// These two are for keyed classes alone. Where they are missing nothing is taken to be dropped.
+    #[serde(default)]
     group: Group,
+    #[serde(default)]
     dedup_window: f64,
     worth: f64,
     slo: f64,
@@ -131,11 +134,12 @@
     SingleShot,
 }
 
-#[derive(Deserialize, Clone, Copy)]
+#[derive(Deserialize, Clone, Copy, Default)]
 #[serde(rename_all = "snake_case")]
 enum Group {
     All,
     Zone,
+    #[default]
     Cell,
 }
 
--- a/tests/front_door/clients.rs
+++ b/tests/front_door/clients.rs
@@ -283,6 +283,49 @@
     assert_eq!(again, 200);
 }
 
+#[test]
+fn names_are_what_the_settings_say_in_whatever_letters() {
+    let backend = Peer::start();
+    let mut config = config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]));
+    config["settings"]["classes"][0]["name"] = json!("menü-olvasás");
+    config["settings"]["plans"][0]["name"] = json!("diák bérlet");
+    let front = Front::start(&config);
+    let mut client = front.client();
+    let asked = get("/7").replace("X-Class: preview-fetch", "X-Class: menü-olvasás");
+    let asked = asked.replace("Plan: starter", "Plan: diák bérlet");
+    for path in ["/men%C3%BC-olvas%c3%a1s/7", "/menü-olvasás/7"] {
+        client.send(&asked.replace("/preview-fetch/7", path));
+        let exchange = backend.next();
+        assert_eq!(exchange.request.line, format!("GET {path} HTTP/1.1"), "unchanged");
+        exchange.ok("served");
+        assert_eq!(client.read().status(), 200);
+    }
+    assert_eq!(client.send(&asked.replace("/preview-fetch/7", "/men%C3/7")).read().status(), 400);
+}
+
+#[test]
+fn a_keyed_request_wants_a_key() {
+    let backend = Peer::start();
+    let mut config = config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]));
+    let class = config["settings"]["classes"][1].as_object_mut().expect("a class");
+    class.insert("semantics".into(), json!("guarded"));
+    // What the settings do not say of a key is taken at its worst: nothing is dropped, nothing repeated.
+    class.remove("group");
+    class.remove("dedupWindow");
+    let front = Front::start(&config);
+    assert_eq!(front.client().send(&post("a job")).read().status(), 400);
+    let keyed = post("a job").replace("Host:", "Idempotency-Key: 7\r\nHost:");
+    let twice = keyed.replace("Host:", "Idempotency-Key: 8\r\nHost:");
+    assert_eq!(front.client().send(&twice).read().status(), 400);
+    let mut client = front.client();
+    client.send(&keyed);
+    let exchange = backend.next();
+    assert_eq!(exchange.request.header("idempotency-key"), "7");
+    exchange.break_off("");
+    assert_eq!(client.read().status(), 504);
+    assert!(backend.exchanges.try_recv().is_err(), "it was sent once");
+}
+
 #[test]
 fn who_does_not_finish_asking_is_sent_away_in_time() {
     let backend = Peer::start();
