Without a meter, count a send that is made at the moment of its own settling

Followed in the code: MeterClock::reach() in meter.rs is 0 without a meter, so that Customer::settle() settles up to now at each arrival, and the send that follows at that very moment is never after what is settled: no own send was ever taken off the store, and the quota not held at all (test: 1200 of 1200 sent on where the quota lets in 320). Chosen: the reach is above nought; with a meter it is what it was.

--- a/src/meter.rs
+++ b/src/meter.rs
@@ -54,9 +54,10 @@
         (self.best % DELAYS) as f64 / PARTS as f64
     }
 
-    /// How far back sends matter: no reading tells of earlier ones.
+    /// How far back sends matter: no reading tells of earlier ones. Above nought also without a meter, as a
+    /// send comes behind the settling of its own moment.
     pub fn reach(&self) -> Millis {
-        (MOST_PERIODS + 2) as f64 * self.period
+        ((MOST_PERIODS + 2) as f64 * self.period).max(1.0)
     }
 
     /// Takes in a reading of so many units and the own sends to that customer, the oldest first.
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -60,6 +60,14 @@
     assert!(sent > 0.0, "the floor lets some through");
 }
 
+#[test]
+fn without_a_meter_the_local_store_holds_the_quota() {
+    let mut host = Host::new(Settings { meter_period: 0.0, ..settings() }, &[server(1)]);
+    let (plan, sent) = (settings().plans[0], ask_for(&mut host, 40.0, 30.0, 0, 0.0));
+    let most = plan.burst + plan.rate * 30.0;
+    assert!(sent <= most, "{sent} of 1200 sent on, the quota lets in {most}");
+}
+
 #[test]
 fn the_lowest_worth_is_refused_first() {
     let sent = ask_four_times_the_quota(&[0, 1, 1, 1]);
