Where there is no meter, hold a shared rate by a token bucket on the counter

At fault: within_quota has nothing to go by without readings; the design is silent there.

Chosen: each request of a plan with a rate and a price on sends beyond it draws its units from a bucket on the counter before the coin; what is refused is put back. Tried and dropped: counting offers in place of sends (retries swell them), and putting a bucket's overflow back by a second call (doors that do so at once overshoot without bound).

places.rs becomes counts.rs, as it holds a gauge and a bucket; what matches answers to calls decides nothing and is calls.rs.

--- /dev/null
+++ b/src/calls.rs
@@ -0,0 +1,40 @@
+//! Calls of the counter that are out, so that each answer finds its own: those for one name end in the order
+//! in which they were made. It decides nothing.
+
+use crate::interface::*;
+use std::collections::{BTreeMap, VecDeque};
+
+/// The calls, with what whoever waits for each wants to know again at its end.
+#[derive(Debug)]
+pub(crate) struct Calls<T> {
+    /// By name, the oldest first; `None` for one that nobody waits for.
+    out: BTreeMap<CountName, VecDeque<Option<T>>>,
+    due: Vec<Action>,
+}
+
+impl<T> Calls<T> {
+    pub fn new() -> Calls<T> {
+        Calls { out: BTreeMap::new(), due: Vec::new() }
+    }
+
+    /// Makes a call.
+    pub fn make(&mut self, name: CountName, amount: f64, life: Millis, waits: Option<T>) {
+        self.out.entry(name).or_default().push_back(waits);
+        self.due.push(Action::Count { name, amount, life });
+    }
+
+    /// Ends the oldest call for that name.
+    pub fn ended(&mut self, name: CountName) -> Option<T> {
+        let calls = self.out.get_mut(&name)?;
+        let call = calls.pop_front();
+        if calls.is_empty() {
+            self.out.remove(&name);
+        }
+        call?
+    }
+
+    /// Hands over the calls that are due.
+    pub fn hand_over(&mut self, actions: &mut Vec<Action>) {
+        actions.append(&mut self.due);
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,27 +1,24 @@
 //! All decisions. The types, events and actions that this module speaks in are in `src/interface.rs`.
 //!
-//! Admission follows the random refusal of "Stochastic breakdown model for an unreliable web server
-//! system": each gateway refuses a customer's requests with chance 1 - quota / offered, where the offered
-//! rate of all gateways is taken from the meter, and the class of the lowest worth goes first.
+//! Admission follows the paper's random refusal: each gateway refuses a customer's requests with chance
+//! 1 - quota / offered, the offered rate of all from the meter, the class of the lowest worth first.
 
+use crate::counts::{Counts, Told};
 use crate::fleet::{Fleet, Moment, PATIENCE};
 use crate::interface::*;
 use crate::meter::MeterClock;
-use crate::places::Places;
 use oorandom::Rand64;
 use std::collections::{BTreeMap, VecDeque};
 
 // ---- Constants. All are dimensionless; times and rates come from the settings. ----
 
-/// Lowest chance of admission: at nought no answer would bring a reading, and the chance would stay there.
+/// Lowest chance of admission: at nought no answer would bring a reading.
 const CHANCE_FLOOR: f64 = 0.01;
 /// Meter periods over which a store that is left over is let out.
 const RELEASE: f64 = 6.0;
-/// Units that each other gateway is taken to send unseen, in a surge, for one beyond an even share here and
-/// for each period that the meter is late.
+/// Units that each other gateway sends unseen in a surge, for one beyond an even share here, a late period.
 const SURGE: f64 = 0.8;
 /// Part of its burst that a customer is taken to have left when it first comes here: most have used little.
-/// Hurts for a heavy one behind a restart of this gateway.
 const START_STORE: f64 = 0.75;
 /// Part of a meter period, on average, after which one whom the coin refused ought to try again.
 const COME_BACK: f64 = 0.3;
@@ -41,7 +38,7 @@
 const SAMPLE: f64 = 0.1;
 /// Room of a new gateway: slow start, as hundreds may be born at once and none knows of the others.
 const START_ROOM: f64 = 0.5;
-/// Most that one answer counts for, in wanted times: where few come, one late one is still only one.
+/// Most that one answer counts for, in wanted times.
 const MOST_WEIGHT: f64 = 0.2;
 /// Least room: retries may come at a hundred times what the servers can do.
 const LEAST_ROOM: f64 = 0.01;
@@ -52,8 +49,8 @@
 /// ... and that one of timely answers gives, with `PROBE` more: one late answer in three is borne.
 const GROWTH: f64 = 0.3;
 const PROBE: f64 = 0.1;
-/// Attempts a server, of all gateways, that make no queue whatever the answers take: up to an own part of
-/// that the room is not asked, for idle servers tell nothing and a door once shut would stay shut.
+/// Attempts a server, of all gateways, that make no queue: up to an own part of that the room is not asked,
+/// for idle servers tell nothing and a door once shut would stay shut.
 const IDLE: f64 = 3.0;
 /// Shrinks the limit on work in flight at each late answer; a timely one grows it by `STEP` attempts, doubled
 /// at a limit of `CREW`: a fair share for each gateway while it is small, one late in five at any size.
@@ -62,8 +59,7 @@
 const CREW: f64 = 5.0;
 /// Further attempts for each first one: the retry budget.
 const RETRY_SHARE: f64 = 0.15;
-/// What one costs that starts while another may still be at work, in attempts that follow a failure: those
-/// replace work, these add to it, and most of all when servers are slow for want of capacity.
+/// What one costs that starts while another may be at work, which it adds to, in those that replace one.
 const COPY_COST: f64 = 10.0;
 /// The part of the wanted time within which a further attempt or a held request must start to be of use.
 const USEFUL: f64 = 0.5;
@@ -111,20 +107,17 @@
     chance: f64,
     chance_set: Millis,
     chances: VecDeque<(Millis, f64)>,
-    /// Own sends that readings may still tell of.
     sends: VecDeque<(Millis, f64)>,
-    /// Own requests, fading: units, and the seconds that they came in.
     offered_here: f64,
     heard: f64,
     heard_at: Millis,
-    /// Evidence of the other gateways, fading: seconds that readings covered, units sent and offered in them.
+    /// Of the other gateways, fading: seconds that readings covered, units sent and offered in them.
     watched: f64,
     sent_elsewhere: f64,
     offered_elsewhere: f64,
     reading_at: Option<Millis>,
-    /// End of the last period that a reading told of.
     read: Millis,
-    /// Usual time between readings, seconds; at first what an even share of the quota would give.
+    /// Usual time between readings, seconds.
     reading_gap: f64,
     /// This gateway's share of the ceiling's store.
     ceiling: f64,
@@ -147,20 +140,17 @@
     swept: Millis,
     /// Refusals since then for want of room, and for want of a server.
     no_room: u32,
-    pressed_before: bool,
     no_server: u32,
     requests: BTreeMap<RequestId, Open>,
     fleet: Fleet,
-    places: Places,
+    counts: Counts,
     /// Recent share of each class in the offered units, and the classes from the highest worth down.
     class_mix: Vec<f64>,
     class_order: Vec<usize>,
-    /// Mean time of an answer for each class.
     answer_time: Vec<f64>,
     /// Share of what the quotas admit that the servers have room for, and when it was last set.
     room: f64,
     room_at: Millis,
-    /// Own part of what leaves the servers idle, and when one was last turned away.
     idle_part: f64,
     full_at: Millis,
     /// Learned limit on own work in flight, and whether it still doubles as at the start.
@@ -171,7 +161,6 @@
     retry_budget: f64,
 }
 
-/// Moves an average towards a sample.
 fn blend(average: &mut f64, sample: f64, weight: f64) {
     *average += weight * (sample - *average);
 }
@@ -208,11 +197,10 @@
             meter: MeterClock::new(settings.meter_period),
             swept: now,
             no_room: 0,
-            pressed_before: false,
             no_server: 0,
             requests: BTreeMap::new(),
             fleet: Fleet::default(),
-            places: Places::new(settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max)),
+            counts: Counts::new(settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max)),
             class_mix: vec![1.0 / classes.max(1) as f64; classes],
             class_order,
             answer_time: settings.classes.iter().map(|class| class.aim / (2.0 * PATIENCE)).collect(),
@@ -236,18 +224,16 @@
             Event::AttemptEnd(end) => self.attempt_ended(end, actions),
             Event::Started(request) | Event::ClientGone(request) => self.close(request),
             Event::Timer(token) => match (token % 4, token / 4) {
-                (DEADLINE, request) => self.deadline(request, actions),
+                (DEADLINE, request) => self.give_up(request, actions),
                 (REVIEW, request) => self.review(request, actions),
                 _ => actions.push(Action::FollowServers),
             },
             Event::Servers { kind, entries } => self.roster(kind, entries, actions),
             Event::Counted { name, counted } => self.counted(name, counted, actions),
         }
-        self.places.hand_over(actions);
+        self.counts.hand_over(actions);
     }
 
-    // ---- Admission. ----
-
     fn arrive(&mut self, request: Request, actions: &mut Vec<Action>) {
         let expires_in = if request.expires_in.is_finite() { request.expires_in.max(0.0) } else { 0.0 };
         if self.requests.contains_key(&request.id) {
@@ -271,25 +257,44 @@
         for (class, share) in self.class_mix.iter_mut().enumerate() {
             blend(share, f64::from(u8::from(class == request.class)), SAMPLE / 2.0);
         }
+        self.note(&request);
+        // Where there is no meter, what one of many gateways sees tells next to nothing of the rest.
+        let plan = self.settings.plans[request.plan];
+        let blind = self.settings.meter_period <= 0.0 && plan.rate > 0.0 && plan.over_cost > 0.0;
+        if blind && self.asks_counter(&request) {
+            self.counts.draw(self.now, &request, &plan);
+            return;
+        }
         let share = self.within_quota(&request);
+        self.toss(&request, share, actions);
+    }
+
+    fn asks_counter(&mut self, request: &Request) -> bool {
+        self.settings.counter && request.spread > 1 && self.counts.bears(self.rng.rand_float())
+    }
+
+    /// Tosses the coin for a request of a customer of whose requests the quota lets that share in.
+    fn toss(&mut self, request: &Request, share: f64, actions: &mut Vec<Action>) {
+        let waited = if request.repeat { self.now - self.requests[&request.id].arrived } else { 0.0 };
         let (class, answer) = (self.settings.classes[request.class], self.answer_time[request.class]);
         let full = self.now < self.full_at + class.aim;
         let flight = self.young(class.aim);
         let idle = !full && self.rng.rand_float() < self.idle_part - self.young(f64::INFINITY);
         // Guards against a surge that is in before its late answers are: beyond the limit on work in flight
-        // the chance falls, to nothing at two deviations more, so that few in hand are not refused by chance.
+        // the chance falls, to nothing at two deviations more.
         let slack = 2.0 * self.limit.sqrt() + 1.0;
         let open = if idle { 1.0 } else { ((self.limit + slack - flight) / slack).clamp(0.0, self.room) };
         let (mix, order) = (&self.class_mix, &self.class_order);
-        // The floor shrinks with the room: of thousands of retries a second, a fixed part would feed a jam.
+        // The floor shrinks with the room: a fixed part of thousands of retries would feed a jam.
         let chance =
             |open: f64| ordered_chance(share * open, mix, order, request.class).max(CHANCE_FLOOR * open);
         let (quota, room, coin) = (chance(1.0), chance(open), self.rng.rand_float());
-        // Guards against a further try past its aim that takes quota for the worth of a late answer. A long
-        // answer time alone is no ground: with nothing sent none would shorten it again.
+        // Guards against a further try past its aim that takes quota for the worth of a late answer.
         let late = if waited > 0.0 && waited + answer > class.aim { class.late_share.min(1.0) } else { 1.0 };
         if share <= 0.0 || coin >= quota * late {
-            let wait = COME_BACK * self.settings.meter_period * (0.5 + self.rng.rand_float());
+            let (period, rate) = (self.settings.meter_period, self.settings.plans[request.plan].rate);
+            let usual = if period > 0.0 { COME_BACK * period } else { 1000.0 / rate };
+            let wait = usual * (0.5 + self.rng.rand_float());
             self.refuse(request.id, wait, actions);
         } else if coin >= room * late {
             self.no_room += 1;
@@ -311,11 +316,9 @@
         0.0
     }
 
-    /// The coin: once per meter period its chance is set to what the quota and the estimated store allow over
-    /// the offered rate.
-    fn within_quota(&mut self, request: &Request) -> f64 {
-        let (now, born, period) = (self.now, self.born, self.settings.meter_period);
-        let plan = self.settings.plans[request.plan];
+    fn note(&mut self, request: &Request) {
+        let (now, born, plan) = (self.now, self.born, self.settings.plans[request.plan]);
+        let spread = f64::from(request.spread.max(1));
         let customer = self.customers.entry(request.customer).or_insert_with(|| Customer {
             store: START_STORE * plan.burst,
             told: now,
@@ -323,12 +326,18 @@
             chance: 1.0,
             chance_set: f64::NEG_INFINITY,
             heard_at: born,
-            reading_gap: f64::from(request.spread.max(1)) / plan.rate.max(f64::MIN_POSITIVE),
+            reading_gap: spread / plan.rate.max(f64::MIN_POSITIVE),
             ceiling_at: born,
             ..Customer::default()
         });
-        let spread = f64::from(request.spread.max(1));
         (customer.seen, customer.plan, customer.spread) = (now, request.plan, spread);
+    }
+
+    /// The coin's chance, set once a period to what the quota and the estimated store allow over the offers.
+    fn within_quota(&mut self, request: &Request) -> f64 {
+        let (now, period) = (self.now, self.settings.meter_period);
+        let plan = self.settings.plans[request.plan];
+        let Some(customer) = self.customers.get_mut(&request.customer) else { return 1.0 };
         if plan.rate <= 0.0 {
             return 1.0;
         }
@@ -341,9 +350,7 @@
         if now >= customer.chance_set + period {
             customer.set_chance(&plan, usual, now, period);
         }
-        // Counted after the chance is set: that a request came says nothing of how many others did.
         customer.offered_here += request.units;
-        // Guards against sends beyond the quota between two settings of the chance.
         if customer.content(&plan, usual, now, now) < customer.unseen(&plan, now, self.meter.delay()) {
             return CHANCE_FLOOR;
         }
@@ -378,20 +385,18 @@
         let held = customer.chances.iter().rev().find(|(at, _)| *at <= to - period / 2.0);
         let chance = held.or(customer.chances.front()).map_or(1.0, |held| held.1);
         let elsewhere = units - customer.sent(to - period, to);
-        let known = customer.elsewhere(&plan, *usual, fade).2;
+        let prior = PRIOR_UNITS / plan.rate;
+        let weight = SAMPLE * prior / (prior + customer.watched * fade);
         customer.watched = customer.watched * fade + period / 1000.0;
         customer.sent_elsewhere = (customer.sent_elsewhere * fade + elsewhere).max(0.0);
         customer.offered_elsewhere = (customer.offered_elsewhere * fade + elsewhere / chance).max(0.0);
-        let weight = SAMPLE * (1.0 - known);
         blend(&mut usual.0, used, weight);
         blend(&mut usual.1, used / chance, weight);
         customer.set_chance(&plan, *usual, now, period);
     }
 
-    /// Adapts the room to one answer, or one overdue: additive growth, multiplicative cut, in proportion to
-    /// the time since the last, so that few gateways and many move alike. Guards against overload within the
-    /// quotas, from a surge or from lost or slow servers: the paper's coin, with the servers' limit for the
-    /// quota's, ends it in early refusals of the cheap. Hurts if answers are slow without a queue.
+    /// Adapts the room to one answer, or one overdue, in proportion to the time since the last: few gateways
+    /// and many move alike. Guards against overload within the quotas by early refusals of the cheap.
     fn adapt(&mut self, class: usize, timely: bool) {
         let aim = self.settings.classes[class].aim;
         let weight = ((self.now - self.room_at) / aim).min(MOST_WEIGHT);
@@ -408,26 +413,19 @@
         }
     }
 
-    /// Own attempts in hand that can still be in time: hung servers must not close the door.
     fn young(&self, aim: Millis) -> f64 {
         self.fleet.sent_after(self.now - aim) as f64
     }
 
-    /// Once a second: reports refusals that are not the coin's, and forgets customers that have been idle
-    /// long enough for every store of theirs to be full again.
     fn sweep(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
         if now < self.swept + 1000.0 {
             return;
         }
         self.swept = now;
-        if (self.no_room > 0) != self.pressed_before {
-            self.pressed_before = self.no_room > 0;
-            let text = if self.pressed_before { "pressed" } else { "pressed no more" };
-            actions.push(Action::Log(format!("{text}: room for {:.2} of what the quotas admit", self.room)));
-        }
-        if self.no_server > 0 {
-            actions.push(Action::Log(format!("no server to send to: {} refused", self.no_server)));
+        if self.no_room + self.no_server > 0 {
+            let text = format!("{} refused for want of room, {} of a server", self.no_room, self.no_server);
+            actions.push(Action::Log(text));
         }
         (self.no_room, self.no_server) = (0, 0);
         self.customers.retain(|_, customer| {
@@ -439,10 +437,7 @@
         });
     }
 
-    // ---- Ceiling guard. ----
-
-    /// Takes a first attempt's units from this gateway's share of the ceiling. The share holds with no word
-    /// from others. It fills from the gateway's birth, for what an earlier life spent is not known.
+    /// Takes units from the own share of the ceiling, which fills from birth: an earlier life's is not known.
     fn under_ceiling(&mut self, request: &Request) -> bool {
         let plan = &self.settings.plans[request.plan];
         let Some(customer) = self.customers.get_mut(&request.customer) else { return false };
@@ -460,9 +455,6 @@
         true
     }
 
-    // ---- What answers tell. ----
-
-    /// Mean time of an answer over the classes, by their recent mix.
     fn mean_answer(&self) -> f64 {
         self.answer_time.iter().zip(&self.class_mix).map(|(time, share)| time * share).sum()
     }
@@ -476,34 +468,27 @@
         let effect = self.settings.classes[open.request.class].effect;
         let home = open.attempts.iter().find(|attempt| attempt.may_have_run).map(|attempt| attempt.to);
         let tried = |id| open.attempts.iter().any(|attempt| attempt.to.id == id);
-        let moment = Moment { now: self.now, mean_answer: self.mean_answer() };
-        self.fleet.choose(moment, &self.settings, effect, home, tried, &mut self.rng)
+        self.fleet.choose(self.moment(), &self.settings, effect, home, tried, &mut self.rng)
     }
 
-    /// Learns from the end of an attempt.
     fn judge(&mut self, class: usize, id: ServerId, end: &AttemptEnd, actions: &mut Vec<Action>) {
         let usual = self.answer_time[class].max(1.0);
         let elapsed = if end.elapsed.is_finite() { end.elapsed.max(0.0) } else { 0.0 };
         match end.outcome {
-            Outcome::Ok => {
-                let aim = self.settings.classes[class].aim;
-                self.adapt(class, elapsed <= LATE * aim);
-            }
-            Outcome::Full | Outcome::TimedOut => {
-                self.full_at = if end.outcome == Outcome::Full { self.now } else { self.full_at };
-                self.adapt(class, false);
-            }
+            Outcome::Ok => self.adapt(class, elapsed <= LATE * self.settings.classes[class].aim),
+            Outcome::Full | Outcome::TimedOut => self.adapt(class, false),
             _ => {}
         }
+        if end.outcome == Outcome::Full {
+            self.full_at = self.now;
+        }
         self.fleet.judge(self.moment(), id, end.outcome, elapsed, usual, actions);
         if end.outcome == Outcome::Ok && self.fleet.entry(id).is_some() {
             blend(&mut self.answer_time[class], elapsed, SAMPLE / 5.0);
         }
     }
 
-    // ---- Attempts. ----
-
-    /// Sends a first attempt, or holds the request while its customer has all the attempts out it may have.
+    /// Sends a first attempt, or holds the request while its customer's are all out.
     fn dispatch(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let request = self.requests[&id].request;
         let plan = self.settings.plans[request.plan];
@@ -517,28 +502,33 @@
             actions.push(Action::Timer { at: self.now + USEFUL * aim, token: (id << 2) + REVIEW });
             return;
         }
-        // The own gateway's attempts are no measure where others send for the customer, too.
-        if plan.open > 0 && self.settings.counter && request.spread > 1 {
-            self.places.enter(self.now, request.customer, id);
+        if plan.open > 0 && self.asks_counter(&request) {
+            self.counts.enter(self.now, &request);
             return;
         }
         self.send_first(id, actions);
     }
 
-    /// Goes on with a request that asked for a place under its plan's cap. Without word from the counter
-    /// the own gateway's attempts have to do.
+    /// Goes on with a request that asked the counter. Without word from it what is known here has to do.
     fn counted(&mut self, name: CountName, counted: Counted, actions: &mut Vec<Action>) {
-        let Some((id, taken)) = self.places.counted(name, counted) else { return };
+        let told = self.counts.counted(self.now, name, counted, &self.settings.plans);
+        let Some((id, told)) = told else { return };
         let Some(open) = self.requests.get(&id).filter(|open| !open.done) else {
-            self.places.leave(id);
+            self.counts.leave(id);
             return;
         };
-        if taken.is_some_and(|taken| taken > f64::from(self.settings.plans[open.request.plan].open)) {
-            let wait = self.mean_answer() * (0.5 + self.rng.rand_float());
-            self.refuse(id, wait, actions);
-            self.places.leave(id);
-        } else {
-            self.send_first(id, actions);
+        let request = open.request;
+        match told {
+            Told::Bucket(within) => {
+                let share = within.map(|within| f64::from(u8::from(within)));
+                let share = share.unwrap_or_else(|| self.within_quota(&request));
+                self.toss(&request, share, actions);
+            }
+            Told::Places(Some(taken)) if taken > f64::from(self.settings.plans[request.plan].open) => {
+                let wait = self.mean_answer() * (0.5 + self.rng.rand_float());
+                self.refuse(id, wait, actions);
+            }
+            Told::Places(_) => self.send_first(id, actions),
         }
     }
 
@@ -554,13 +544,13 @@
                 self.refuse(id, self.settings.max_retry_after, actions)
             }
             Some(server) => {
-                // Without a rate nothing reads these, and nothing would take them off again.
                 if let Some(customer) = self.customers.get_mut(&request.customer).filter(|_| plan.rate > 0.0)
                 {
                     customer.sends.push_back((self.now, request.units));
                 }
                 let most = COPY_COST.max(self.fleet.len() as f64);
                 self.retry_budget = (self.retry_budget + RETRY_SHARE).min(most);
+                self.counts.spend(id);
                 self.send(id, server, actions);
             }
         }
@@ -624,7 +614,6 @@
         if self.may_try_again(open) {
             self.further(id, actions);
         } else if free && !self.may_copy(open) && self.settings.may_cancel {
-            // One copy at a time: the attempt is given up first, and its end brings the next one.
             let silent = self.fleet.hangs(self.moment(), last.to.id);
             let useful = self.now < open.arrived + self.settings.classes[open.request.class].aim;
             let more = open.attempts.len() < self.settings.max_attempts as usize && self.retry_budget >= 1.0;
@@ -684,15 +673,9 @@
         }
     }
 
-    fn deadline(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        if self.requests.get(&id).is_some_and(|open| !open.done) {
-            self.give_up(id, actions);
-        }
-    }
-
-    /// Final answer without an answer of a server: a refusal where nothing can have run, else a failure.
+    /// Final answer without a server's: a refusal where nothing can have run, else a failure.
     fn give_up(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(open) = self.requests.get(&id) else { return };
+        let Some(open) = self.requests.get(&id).filter(|open| !open.done) else { return };
         if open.attempts.iter().all(|attempt| !attempt.may_have_run) {
             self.refuse(id, 0.0, actions);
         } else {
@@ -702,7 +685,6 @@
         }
     }
 
-    /// Cancels the attempts of a request that are still out, where that is allowed.
     fn call_off(&self, id: RequestId, actions: &mut Vec<Action>) {
         let out = self.requests[&id].attempts.iter().enumerate().filter(|(_, attempt)| attempt.out);
         let cancels = out.map(|(n, _)| Action::Cancel { request: id, attempt: n as u8 });
@@ -729,13 +711,10 @@
     fn forget_if_over(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(|open| open.done && open.attempts.iter().all(|a| !a.out)) {
             self.requests.remove(&id);
-            self.places.leave(id);
+            self.counts.leave(id);
         }
     }
 
-    // ---- Roster. ----
-
-    /// Asks for the server list where it has to be asked for, and follows it.
     fn roster(&mut self, kind: ListKind, entries: Vec<ServerEntry>, actions: &mut Vec<Action>) {
         if self.settings.list_on_request {
             match kind {
@@ -754,33 +733,27 @@
 }
 
 impl Customer {
-    /// Rates at which the other gateways send and are offered, and the part of that which rests on readings
-    /// of this customer. What they do not tell is filled up with what its plan's customers usually do.
-    fn elsewhere(&self, plan: &Plan, usual: (f64, f64), fade: f64) -> (f64, f64, f64) {
+    /// Rates at which the other gateways send and are offered, filled up with what is usual in the plan.
+    fn elsewhere(&self, plan: &Plan, usual: (f64, f64), fade: f64) -> (f64, f64) {
         let prior = PRIOR_UNITS / plan.rate;
-        // One of n gateways sees one part in n of the time that all see together.
         let own = self.heard / (self.spread - 1.0).max(f64::MIN_POSITIVE);
         let seconds = prior + self.watched * fade;
         let sent = (PRIOR_UNITS * usual.0 + self.sent_elsewhere * fade) / seconds;
         let offers = PRIOR_UNITS * usual.1 + self.offered_elsewhere * fade + self.offered_here;
-        let offered = offers / (seconds + own);
-        (sent, offered, 1.0 - prior / seconds)
+        (sent, offers / (seconds + own))
     }
 
-    /// Own sends after `from` and up to `to`, in units.
     fn sent(&self, from: Millis, to: Millis) -> f64 {
         self.sends.iter().filter(|(at, _)| *at > from && *at <= to).map(|(_, units)| units).sum()
     }
 
-    /// Units that other gateways have likely sent in a surge of which no reading tells yet: more, the more
-    /// periods it takes until one tells.
+    /// Units that other gateways have likely sent in a surge of which no reading tells yet.
     fn unseen(&self, plan: &Plan, now: Millis, delay: f64) -> f64 {
         let even = plan.rate * (now - self.told) / 1000.0 / self.spread;
         SURGE * delay * (self.spread - 1.0) * (self.sent(self.told, now) - even).max(0.0)
     }
 
-    /// How much of the readings still counts: they fade over some units of the quota, or some gaps between
-    /// readings if those are longer.
+    /// How much of the readings still counts: they fade over some units of the quota, or gaps between them.
     fn fade(&self, plan: &Plan, now: Millis) -> f64 {
         let memory = RATE_UNITS * (1.0 / plan.rate).max(self.reading_gap);
         self.reading_at.map_or(0.0, |at| (-(now - at) / 1000.0 / memory).exp())
@@ -792,7 +765,6 @@
         (self.store + flow * (at - self.told) / 1000.0 - self.sent(self.told, at)).clamp(0.0, plan.burst)
     }
 
-    /// Takes for settled what no reading told of up to then.
     fn advance(&mut self, plan: &Plan, usual: (f64, f64), now: Millis, to: Millis) {
         if to > self.told {
             self.store = self.content(plan, usual, now, to);
@@ -813,7 +785,7 @@
     }
 
     fn set_chance(&mut self, plan: &Plan, usual: (f64, f64), now: Millis, period: Millis) {
-        let (_, elsewhere, _) = self.elsewhere(plan, usual, self.fade(plan, now));
+        let (_, elsewhere) = self.elsewhere(plan, usual, self.fade(plan, now));
         let offered = self.offered_here / self.heard.max(RATE_UNITS / plan.rate) + elsewhere;
         // The store is let out over some readings, so that the coin, by worth, refuses before it is empty.
         let span = RELEASE * period / 1000.0;
--- a/src/counts.rs
+++ b/src/counts.rs
@@ -1,73 +1,124 @@
-//! Places under a plan's cap on attempts out at once, which all gateways share: a gauge on the counter that
-//! each request of such a plan enters before its first attempt and leaves behind its last.
-//!
-//! No answer of a server tells how many attempts a customer has out elsewhere at this moment, and where many
-//! gateways share a customer each sees next to none of them.
+//! Numbers on the counter that all gateways share: a gauge for a plan's cap on attempts out at once, which
+//! each request enters before its first attempt and leaves behind its last; a token bucket for its rate where
+//! there is no meter, from which a request draws its units before it is sent on.
 
+use crate::calls::Calls;
 use crate::interface::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
-/// Bits of a count's name that hold the customer; the stretch of time takes the rest.
+/// Bits of a number's name that hold the customer; the stretch of time takes the rest but for one bit, which
+/// tells a bucket from a gauge.
 const CUSTOMER_BITS: u32 = 33;
+const BUCKET: u64 = 1 << 63;
+const LIFE: Millis = 60_000.0;
+/// A bucket's stretch, in times that the quota fills the burst: in a longer one quiet customers save up more.
+const FILLS: f64 = 2.0;
+/// Part of its burst that a customer is taken to have left as a stretch begins.
+const LEFT_OVER: f64 = 0.25;
+/// Part that a call without an answer takes off the chance that the counter is asked, and what one with an
+/// answer adds: asked more than it can bear, it answers nobody in time.
+const SHED: f64 = 0.1;
+const REGAIN: f64 = 0.01;
+/// Least chance that it is asked: that it is back has to be noticed.
+const LEAST_ASKED: f64 = 0.02;
+
+/// What the counter told; `None` if it did not say.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Told {
+    /// Attempts out under the cap, with the one that asks.
+    Places(Option<f64>),
+    /// Whether the bucket holds what is drawn.
+    Bucket(Option<bool>),
+}
 
 #[derive(Debug)]
-pub(crate) struct Places {
-    /// A gauge serves for a stretch this long, then a new one does: what gateways that died left on it is
-    /// gone with it. Hurts for a moment where one stretch ends, as what is out then is not on the next.
+pub(crate) struct Counts {
+    /// A gauge serves for a stretch this long: what gateways that died left on it is gone with it. Hurts for
+    /// a moment where one ends, as what is out then is not on the next.
     stretch: Millis,
-    /// Calls without an answer yet, by name, the oldest first: whom each is for, `None` for one that leaves.
-    calls: BTreeMap<CountName, VecDeque<Option<RequestId>>>,
-    /// Where each request holds a place.
-    held: BTreeMap<RequestId, CountName>,
-    due: Vec<Action>,
+    /// Who asks, and the amount that it adds.
+    calls: Calls<(Request, f64)>,
+    /// What each request has added to which number, to be taken off again.
+    held: BTreeMap<(RequestId, CountName), f64>,
+    /// Chance that the counter is asked.
+    asked: f64,
 }
 
-impl Places {
+impl Counts {
     /// `longest` is the longest time that a request may take.
-    pub fn new(longest: Millis) -> Places {
-        Places { stretch: longest.max(1.0), calls: BTreeMap::new(), held: BTreeMap::new(), due: Vec::new() }
+    pub fn new(longest: Millis) -> Counts {
+        Counts { stretch: longest.max(1.0), calls: Calls::new(), held: BTreeMap::new(), asked: 1.0 }
+    }
+
+    /// Whether the counter is asked, by a coin between 0 and 1.
+    pub fn bears(&self, coin: f64) -> bool {
+        coin < self.asked
     }
 
     /// Asks for a place.
-    pub fn enter(&mut self, now: Millis, customer: CustomerId, request: RequestId) {
-        let stretch = (now / self.stretch).floor() as i64 as u64;
-        let customer = customer & ((1 << CUSTOMER_BITS) - 1);
-        self.call((stretch << CUSTOMER_BITS) | customer, 1.0, Some(request));
+    pub fn enter(&mut self, now: Millis, request: &Request) {
+        let (name, _) = number(now / self.stretch, request.customer);
+        self.calls.make(name & !BUCKET, 1.0, 2.0 * self.stretch, Some((*request, 1.0)));
+    }
+
+    /// Draws a request's units from its customer's bucket, and those of others that do not ask.
+    pub fn draw(&mut self, now: Millis, request: &Request, plan: &Plan) {
+        let (name, _) = number(now / fill(plan), request.customer);
+        let units = request.units / self.asked;
+        self.calls.make(name | BUCKET, units, LIFE, Some((*request, units)));
+    }
+
+    /// Keeps what a request has drawn: it is sent on.
+    pub fn spend(&mut self, request: RequestId) {
+        let drawn = self.held.range((request, BUCKET)..=(request, u64::MAX)).next().map(|(key, _)| *key);
+        drawn.map(|key| self.held.remove(&key));
     }
 
-    /// Gives a place back, if the request has one.
     pub fn leave(&mut self, request: RequestId) {
-        if let Some(name) = self.held.remove(&request) {
-            self.call(name, -1.0, None);
+        while let Some((&(id, name), &amount)) = self.held.range((request, 0)..=(request, u64::MAX)).next() {
+            self.held.remove(&(id, name));
+            self.calls.make(name, -amount, 2.0 * self.stretch, None);
         }
     }
 
-    /// Takes an answer in: the request that it is for, and how many places are taken with its own. `None` in
-    /// place of a number if the counter did not say.
-    pub fn counted(&mut self, name: CountName, counted: Counted) -> Option<(RequestId, Option<f64>)> {
-        let calls = self.calls.get_mut(&name)?;
-        let call = calls.pop_front();
-        if calls.is_empty() {
-            self.calls.remove(&name);
-        }
-        let request = call??;
+    /// Takes an answer in: whose it is if somebody waits for it, and what it tells.
+    pub fn counted(
+        &mut self,
+        now: Millis,
+        name: CountName,
+        counted: Counted,
+        plans: &[Plan],
+    ) -> Option<(RequestId, Told)> {
+        let total = if let Counted::Total(total) = counted { Some(total) } else { None };
+        let change = if total.is_some() { REGAIN } else { -SHED * self.asked };
+        self.asked = (self.asked + change).clamp(LEAST_ASKED, 1.0);
+        let (request, amount) = self.calls.ended(name)?;
         // What may have been added most likely was: the call waits in the counter's line.
         if counted != Counted::NotAdded {
-            self.held.insert(request, name);
+            self.held.insert((request.id, name), amount);
         }
-        match counted {
-            Counted::Total(total) => Some((request, Some(total))),
-            Counted::NotAdded | Counted::Unknown => Some((request, None)),
+        if name & BUCKET == 0 {
+            return Some((request.id, Told::Places(total)));
         }
+        let plan = &plans[request.plan];
+        let seconds = number(now / fill(plan), request.customer).1 * fill(plan) / 1000.0;
+        let holds = LEFT_OVER * plan.burst + plan.rate * seconds;
+        Some((request.id, Told::Bucket(total.map(|total| total <= holds))))
     }
 
-    /// Hands over the calls that are due.
     pub fn hand_over(&mut self, actions: &mut Vec<Action>) {
-        actions.append(&mut self.due);
+        self.calls.hand_over(actions);
     }
+}
 
-    fn call(&mut self, name: CountName, amount: f64, request: Option<RequestId>) {
-        self.calls.entry(name).or_default().push_back(request);
-        self.due.push(Action::Count { name, amount, life: 2.0 * self.stretch });
-    }
+fn fill(plan: &Plan) -> Millis {
+    (FILLS * plan.burst / plan.rate * 1000.0).clamp(1.0, LIFE / 2.0)
+}
+
+/// A customer's number for the stretch at this time, which counts in stretches, and the part of it that is
+/// over. Not all customers' stretches begin together.
+fn number(time: f64, customer: CustomerId) -> (CountName, f64) {
+    let time = time + (customer % 64) as f64 / 64.0;
+    let customer = customer & ((1 << CUSTOMER_BITS) - 1);
+    ((time.floor() as i64 as u64) << CUSTOMER_BITS | customer, time.fract())
 }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,5 +1,4 @@
 //! Which server an attempt goes to: what is known of the servers, their health, and the choice among them.
-//! Admission, retries and answers are the business of `src/control.rs`.
 
 use crate::interface::*;
 use oorandom::Rand64;
@@ -33,9 +32,7 @@
 #[derive(Debug)]
 struct Server {
     entry: ServerEntry,
-    /// When own attempts in hand were sent, the oldest first.
     out: Vec<Millis>,
-    /// Time taken against the fleet's mean.
     slowness: f64,
     judged: Millis,
     answered: Millis,
@@ -43,7 +40,6 @@
     ejected_until: Millis,
 }
 
-/// What holds for all servers at one moment: the clock, and the mean time of an answer.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Moment {
     pub now: Millis,
@@ -79,7 +75,6 @@
         self.servers.get(&id).map(|server| server.entry)
     }
 
-    /// Attempts in hand that were sent after `since`.
     pub fn sent_after(&self, since: Millis) -> usize {
         let sent = |server: &Server| server.out.iter().filter(|at| **at > since).count();
         self.servers.values().map(sent).sum()
@@ -111,9 +106,7 @@
     }
 
     /// The servers to keep to. Guards against every gateway holding connections to every server, each used
-    /// so rarely that it costs a handshake and tells nothing of the server's health: where gateways are
-    /// many, each keeps to its own few, and where they are few to all. The order outlives changes of the
-    /// list, so that one server more or less moves little.
+    /// so rarely that it costs a handshake and tells nothing: of many gateways each keeps to its own few.
     fn subset(&self, settings: &Settings, now: Millis) -> Vec<ServerId> {
         let share = GATEWAYS_A_SERVER * self.preference.len() as f64 / f64::from(settings.gateways);
         let fit = |id: &&ServerId| {
@@ -123,14 +116,12 @@
         self.preference.iter().filter(fit).take(share.max(LEAST_SUBSET).ceil() as usize).copied().collect()
     }
 
-    /// Notes an attempt.
     pub fn began(&mut self, id: ServerId, now: Millis) {
         if let Some(server) = self.servers.get_mut(&id) {
             server.out.push(now);
         }
     }
 
-    /// Notes that the attempt sent then has ended.
     pub fn ended(&mut self, id: ServerId, sent: Millis) {
         let Some(server) = self.servers.get_mut(&id) else { return };
         if let Some(place) = server.out.iter().position(|at| *at == sent) {
@@ -141,7 +132,6 @@
         }
     }
 
-    /// Share of its full capacity that a server has at least.
     fn warmth(settings: &Settings, now: Millis, server: &Server) -> f64 {
         match server.entry.launched {
             Some(at) if settings.cold_for > 0.0 && now < at + settings.cold_for => {
@@ -152,21 +142,18 @@
         }
     }
 
-    /// Time taken against the fleet's mean; it fades to that of the others, so that a server passed over is
-    /// tried again.
+    /// Time taken against the fleet's mean, to which it fades: a server passed over is tried again.
     fn slowness(moment: Moment, server: &Server) -> f64 {
         let age = (moment.now - server.judged).max(0.0) / moment.mean_answer.max(1.0);
         1.0 + (server.slowness - 1.0) * (-age / FADE).exp()
     }
 
-    /// Mean answer times for which a server that holds work of ours has said nothing. Hung, paused, slow, cut
-    /// off or lying: from here it looks the same, and the answer is the same.
+    /// Mean answer times for which a server that holds work of ours has said nothing.
     fn silence(moment: Moment, server: &Server) -> f64 {
         let Some(oldest) = server.out.first() else { return 0.0 };
         (moment.now - oldest.max(server.answered)) / moment.mean_answer.max(1.0)
     }
 
-    /// Whether a server is taken to hang; one that is no longer known is.
     pub fn hangs(&self, moment: Moment, id: ServerId) -> bool {
         self.servers.get(&id).is_none_or(|server| Fleet::silence(moment, server) > SILENCE)
     }
@@ -186,9 +173,8 @@
         tried: impl Fn(ServerId) -> bool,
         rng: &mut Rand64,
     ) -> Option<ServerId> {
-        // Guards against tipping a cold server over: it is drawn by lot for its part of the fleet,
-        // whatever its answers, so that all gateways, however many, send it no more for its capacity than a
-        // warm one; with few warm ones left, the rest is refused. Hurts where warmth is understated.
+        // Guards against tipping a cold server over: it is drawn by lot for its part of the fleet, so that
+        // all gateways send it no more for its capacity than a warm one. Hurts where warmth is understated.
         let (mut ready, mut capacity) = (0.0, 0.0);
         for server in self.servers.values().filter(|server| server.entry.lifecycle == Lifecycle::Ready) {
             ready += 1.0;
@@ -227,8 +213,7 @@
         best[0].or(best[1]).map(|(_, id)| id)
     }
 
-    /// Learns a server's pace and health from the end of an attempt that took `elapsed`, where answers of
-    /// its class take `usual`.
+    /// Learns from the end of an attempt that took `elapsed`, where answers of its class take `usual`.
     pub fn judge(
         &mut self,
         moment: Moment,
@@ -255,8 +240,8 @@
             }
             Outcome::Cancelled => server.slowness += SAMPLE * (pace - server.slowness),
             Outcome::Moot => {}
-            // Guards against a server that fails some or all of what it gets, at once or late: each failure
-            // weighs as a very slow answer, and some in a row eject it. Hurts if the fault is the request's.
+            // Each failure weighs as a very slow answer, and some in a row eject the server. Hurts if the
+            // fault is the request's.
             _ => {
                 server.strikes += 1;
                 server.slowness += SAMPLE * (worst - server.slowness);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,11 +40,12 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod calls;
 pub mod control;
+mod counts;
 mod fleet;
 pub mod interface;
 mod meter;
-mod places;
 pub mod wire;
 
 pub use control::Gateway;
--- a/src/meter.rs
+++ b/src/meter.rs
@@ -1,8 +1,7 @@
 //! The meter's clock: which period a reading tells of.
 //!
-//! A reading says what a customer used in the last period that the meter has added up, but not which one
-//! that is. When periods end and how late they are told is the same for all customers and stays so, so it
-//! can be learned: with the right period, what this gateway sent is a part of what the meter counted.
+//! A reading does not say which period it is of. When periods end and how late they are told stays the same
+//! and can be learned: with the right period, what this gateway sent is a part of what the meter counted.
 
 use crate::interface::Millis;
 use std::collections::VecDeque;
@@ -12,8 +11,7 @@
 /// Longest delay that is looked for, in periods.
 const MOST_PERIODS: usize = 4;
 const DELAYS: usize = PARTS * MOST_PERIODS;
-/// Delay in periods that is assumed until readings tell, and how much a period more or less counts against
-/// another, in units of misfit.
+/// Delay in periods that is assumed, and what a period more or less counts against another, in misfit.
 const USUAL_DELAY: f64 = 1.0;
 const DOUBT: f64 = 1.0;
 /// Most units of misfit that one reading counts for: what other gateways sent must not drown the rest.
@@ -39,7 +37,6 @@
         MeterClock { period, misfit, best }
     }
 
-    /// End of the period that a reading which comes `now` tells of.
     pub fn told(&self, now: Millis) -> Millis {
         if self.period <= 0.0 {
             return now;
@@ -49,13 +46,11 @@
         ((now - delay - end) / self.period).floor() * self.period + end
     }
 
-    /// Delay from the end of a period until it is told, in periods.
     pub fn delay(&self) -> f64 {
         (self.best % DELAYS) as f64 / PARTS as f64
     }
 
-    /// How far back sends matter: no reading tells of earlier ones. Above nought also without a meter, as a
-    /// send comes behind the settling of its own moment.
+    /// How far back sends matter, above nought also without a meter: no reading tells of earlier ones.
     pub fn reach(&self) -> Millis {
         ((MOST_PERIODS + 2) as f64 * self.period).max(1.0)
     }
