With a meter, take a further try for evidence and undercut the quota in the dark

Customers who ask over twice their quota make the price: of basico 1.8 quotas go out blind, 0.35 informed. At fault: waited() knows a retry only where clients mark them, within_quota tosses a fresh coin for it, so that the persistent get in; set_chance aims at the whole quota, so that half of the sends at the edge go beyond.

--- a/src/control.rs
+++ b/src/control.rs
@@ -25,9 +25,19 @@
 /// Units over which a rate is averaged: fewer counts say little about a rate.
 const RATE_UNITS: f64 = 4.0;
 /// Units that what is known of a plan counts for beside the readings of one of its customers.
-const PRIOR_UNITS: f64 = 0.3;
+const PRIOR_UNITS: f64 = 0.5;
 /// Part of its quota that a customer is taken to ask for until readings tell of its plan.
 const CALM_USE: f64 = 0.5;
+/// Other gateways that share a customer at which half of its traffic is as good as unseen.
+const OTHERS: f64 = 10.0;
+/// What a send beyond the quota costs, times this, is what the quota is undercut by in the dark.
+const CAUTION: f64 = 0.5;
+/// Part of its chance that a further try loses there: a fresh coin for each lets the persistent in.
+const AGAIN: f64 = 0.7;
+/// Requests by which one time left has to lead the others to be that of first tries.
+const MAJORITY: u32 = 8;
+/// Part that all classes bear alike there: the low would pay for what customers of others go beyond.
+const EVEN: f64 = 0.1;
 /// Own evidence fades over so many units of an even share of the quota.
 const OWN_UNITS: f64 = 2.0;
 /// Weight of a new gap between readings in their mean.
@@ -156,8 +166,8 @@
     /// Learned limit on own work in flight, and whether it still doubles as at the start.
     limit: f64,
     slow_start: bool,
-    /// Longest time that first tries of each class are given.
-    first_wait: Vec<f64>,
+    /// Time that first tries of each class are given, and by how many requests that leads.
+    first_wait: Vec<(Millis, u32)>,
     retry_budget: f64,
 }
 
@@ -210,7 +220,7 @@
             full_at: f64::NEG_INFINITY,
             limit: 1.0,
             slow_start: true,
-            first_wait: vec![0.0; classes],
+            first_wait: vec![(0.0, 0); classes],
             retry_budget: 1.0,
             settings,
         })
@@ -234,7 +244,7 @@
         self.counts.hand_over(actions);
     }
 
-    fn arrive(&mut self, request: Request, actions: &mut Vec<Action>) {
+    fn arrive(&mut self, mut request: Request, actions: &mut Vec<Action>) {
         let expires_in = if request.expires_in.is_finite() { request.expires_in.max(0.0) } else { 0.0 };
         if self.requests.contains_key(&request.id) {
             return;
@@ -250,9 +260,9 @@
             return;
         }
         self.sweep(actions);
-        let waited = self.waited(&request, expires_in);
+        let waited = self.waited(&mut request, expires_in);
         if let Some(open) = self.requests.get_mut(&request.id) {
-            open.arrived -= waited;
+            (open.arrived, open.request) = (open.arrived - waited, request);
         }
         for (class, share) in self.class_mix.iter_mut().enumerate() {
             blend(share, f64::from(u8::from(class == request.class)), SAMPLE / 2.0);
@@ -286,8 +296,11 @@
         let open = if idle { 1.0 } else { ((self.limit + slack - flight) / slack).clamp(0.0, self.room) };
         let (mix, order) = (&self.class_mix, &self.class_order);
         // The floor shrinks with the room: a fixed part of thousands of retries would feed a jam.
-        let chance =
-            |open: f64| ordered_chance(share * open, mix, order, request.class).max(CHANCE_FLOOR * open);
+        let even = EVEN * self.customers.get(&request.customer).map_or(0.0, Customer::dark);
+        let chance = |open: f64| {
+            let ordered = ordered_chance(share * open, mix, order, request.class);
+            (ordered + even * (share * open - ordered)).max(CHANCE_FLOOR * open)
+        };
         let (quota, room, coin) = (chance(1.0), chance(open), self.rng.rand_float());
         // Guards against a further try past its aim that takes quota for the worth of a late answer.
         let late = if waited > 0.0 && waited + answer > class.aim { class.late_share.min(1.0) } else { 1.0 };
@@ -304,16 +317,23 @@
         }
     }
 
-    /// How long a client has been trying before this try, where it shows: a further try with less time left
-    /// than first tries get is bounded by what remains of the class's deadline.
-    fn waited(&mut self, request: &Request, expires_in: Millis) -> Millis {
-        let most = &mut self.first_wait[request.class];
+    /// How long a client has been trying before this try: less time left than first tries get is what remains
+    /// of the class's deadline. Where clients mark nothing, a clear majority tells what first tries get.
+    fn waited(&mut self, request: &mut Request, expires_in: Millis) -> Millis {
+        let near = 4.0 * self.settings.tick; // The ways here differ.
+        let (usual, lead) = &mut self.first_wait[request.class];
         if !request.repeat {
-            *most = most.max(expires_in);
-        } else if expires_in < *most - self.settings.tick {
-            return (self.settings.classes[request.class].deadline - expires_in).max(0.0);
+            let agrees = (expires_in - *usual).abs() <= near;
+            *lead = if agrees { (*lead + 1).min(2 * MAJORITY) } else { lead.saturating_sub(1) };
+            if *lead == 0 {
+                (*usual, *lead) = (expires_in, 1);
+            }
+        }
+        if expires_in >= *usual - near || !(request.repeat || *lead > MAJORITY) {
+            return 0.0;
         }
-        0.0
+        request.repeat = true;
+        (self.settings.classes[request.class].deadline - expires_in).max(0.0)
     }
 
     fn note(&mut self, request: &Request) {
@@ -354,7 +374,8 @@
         if customer.content(&plan, usual, now, now) < customer.unseen(&plan, now, self.meter.delay()) {
             return CHANCE_FLOOR;
         }
-        customer.chance
+        let again = if request.repeat && plan.over_cost > 0.0 { AGAIN * customer.dark() } else { 0.0 };
+        customer.chance * (1.0 - again)
     }
 
     /// Takes a reading of the meter. They carry no number: the meter's clock says which period one is of.
@@ -753,6 +774,11 @@
         SURGE * delay * (self.spread - 1.0) * (self.sent(self.told, now) - even).max(0.0)
     }
 
+    /// How little of the customer's traffic shows here, from nought where no other gateway has a part in it.
+    fn dark(&self) -> f64 {
+        (self.spread - 1.0) / (self.spread - 1.0 + OTHERS)
+    }
+
     /// How much of the readings still counts: they fade over some units of the quota, or gaps between them.
     fn fade(&self, plan: &Plan, now: Millis) -> f64 {
         let memory = RATE_UNITS * (1.0 / plan.rate).max(self.reading_gap);
@@ -789,7 +815,8 @@
         let offered = self.offered_here / self.heard.max(RATE_UNITS / plan.rate) + elsewhere;
         // The store is let out over some readings, so that the coin, by worth, refuses before it is empty.
         let span = RELEASE * period / 1000.0;
-        let allowed = plan.rate + self.content(plan, usual, now, now) / span.max(self.reading_gap);
+        let aim = 1.0 / (1.0 + CAUTION * plan.over_cost * self.dark());
+        let allowed = aim * (plan.rate + self.content(plan, usual, now, now) / span.max(self.reading_gap));
         self.chance = if offered > allowed { (allowed / offered).max(CHANCE_FLOOR) } else { 1.0 };
         self.chance_set = now;
         self.chances.push_back((now, self.chance));
--- a/tests/shared_quota.rs
+++ b/tests/shared_quota.rs
@@ -207,3 +207,14 @@
     let sent = world.tally.inside + world.tally.beyond - before;
     assert!(sent > 0.6 * 0.9 * RATE * 20.0, "{sent} let in behind a surge");
 }
+
+#[test]
+fn with_a_meter_a_heavy_customer_spread_unevenly_gains_little_by_coming_again() {
+    for (marked, most) in [(true, 1.15), (false, 1.45)] {
+        let heavy = plays(true, 4.0, marked);
+        assert!(heavy.beyond < most * QUOTA, "marked {marked}: {} beyond a quota of {QUOTA}", heavy.beyond);
+        assert!(heavy.inside > 0.75 * QUOTA, "marked {marked}: {} of {QUOTA} let in", heavy.inside);
+        let quiet = plays(true, 0.3, marked);
+        assert!(quiet.share_refused_with_room() < 0.04, "{} refused", quiet.refused_with_room);
+    }
+}
