Where the list is a shared service's, keep every back-off within the 6 s until a change counts

Checked on the code as it stood: with 300 front doors the pauses behind failed calls grew to any part of 30 s (LAST_BACK_OFF_A_DOOR), and only the first one behind a silent call was short, so that a change could count as told up to 24 s before a front door asked again. An own agent's pauses were within the grace already. Now the time that the failed call took and the pause behind it leave 2 s of the 6 s for the next answer, whatever the number of front doors. Of the longest pause the later half is drawn, so that 100 doors that are turned away still make no more than 50 calls a second, as the test for that asks; 300 make about 120, where a quiet watch makes 300.

--- a/src/bin/brassport/discovery.rs
+++ b/src/bin/brassport/discovery.rs
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
 /// How long a watch may wait for news, and how long its answer may take beyond that.
 const WAIT: Duration = Duration::from_millis(1000);
@@ -41,9 +41,12 @@
 /// How much longer a call may take there for each of them: the service goes on to work on a call that was
 /// given up, and so the next one only makes its line longer.
 const OVERDUE_A_DOOR: Duration = Duration::from_millis(30);
-/// What a watch that has fallen silent misses counts as told 6 s after that: it is given up before, and
-/// opened anew soon, with time left for the answer.
+/// A change counts as told 6 s after discovery had it and could be reached, whatever became of the call that
+/// was out then. So the time that a call took, the pause behind it and the wait for the next answer all go
+/// into that, however many front doors there are.
 const LONGEST_OVERDUE: Duration = Duration::from_millis(2500);
+const LONGEST_BACK_OFF: Duration = Duration::from_millis(3300);
+/// The longest pause behind a call that took as long as any may.
 const BACK_OFF_FROM_SILENCE: Duration = Duration::from_millis(500);
 /// Most bytes of a list.
 const LIST_LIMIT: usize = 1 << 20;
@@ -140,13 +143,17 @@
         }
     }
 
-    /// How long to pause after a call that failed: any part of what is due, so that front doors fall out of
-    /// step. `silent` is for one that was given up.
-    fn pause(&mut self, silent: bool) -> Duration {
-        let first = self.next == self.first;
-        let most = if silent && first { self.next.min(BACK_OFF_FROM_SILENCE) } else { self.next };
-        self.next = (2 * self.next).min(self.last);
-        most.mul_f32(self.rng.rand_float())
+    /// How long to pause after a call that failed and took so long: any part of what is due, so that front
+    /// doors fall out of step, and of the longest pause there may be the later half, to spare the service.
+    fn pause(&mut self, took: Duration) -> Duration {
+        let longest = LONGEST_BACK_OFF.saturating_sub(took).max(BACK_OFF_FROM_SILENCE);
+        let (due, any) = (self.next, self.rng.rand_float());
+        self.next = (2 * due).min(self.last);
+        if due <= longest {
+            due.mul_f32(any)
+        } else {
+            longest.mul_f32((1.0 + any) / 2.0)
+        }
     }
 
     fn reset(&mut self) {
@@ -190,6 +197,7 @@
     let mut link = None;
     let mut last = known;
     loop {
+        let began = Instant::now();
         // Guards against an agent that is silent: a call is given up and its connection closed.
         let call = ask(&mut link, address, last, rhythm.wait);
         match timeout(rhythm.patience(last.is_some()), call).await {
@@ -205,11 +213,11 @@
             }
             Ok(Told::Busy) => {
                 link = None;
-                sleep(rhythm.pause(false)).await;
+                sleep(rhythm.pause(began.elapsed())).await;
             }
-            other => {
+            Ok(Told::Nothing) | Err(_) => {
                 (link, last) = (None, last.filter(|_| rhythm.shared));
-                sleep(rhythm.pause(other.is_err())).await;
+                sleep(rhythm.pause(began.elapsed())).await;
             }
         }
     }
@@ -259,7 +267,7 @@
             let mut at = Duration::ZERO;
             while let Some(count) = calls.get_mut(at.as_secs() as usize) {
                 *count += 1;
-                at += rhythm.pause(false);
+                at += rhythm.pause(Duration::ZERO);
             }
         }
         calls
@@ -278,10 +286,10 @@
         for grace in [300, 1000, 2000].map(Duration::from_millis) {
             let mut rhythm = Rhythm::new(Service::Own { grace }, 7);
             // Its silence ends right after it swallowed a call: the watch, or any of those that follow.
-            let mut blind = rhythm.patience(true) + rhythm.pause(true);
+            let mut blind = rhythm.patience(true) + rhythm.pause(rhythm.patience(true));
             for _ in 0..1000 {
                 assert!(blind <= grace.mul_f64(0.75), "unheard for {blind:?} of {grace:?}");
-                blind = rhythm.patience(false) + rhythm.pause(true);
+                blind = rhythm.patience(false) + rhythm.pause(rhythm.patience(false));
             }
         }
     }
@@ -290,8 +298,23 @@
     fn a_shared_watch_that_fell_silent_is_opened_anew_long_before_its_news_count_as_told() {
         for doors in [3, 100, 300] {
             let mut rhythm = Rhythm::new(Service::Shared { doors }, u64::from(doors));
-            let reopened = rhythm.patience(true) + rhythm.pause(true);
+            let reopened = rhythm.patience(true) + rhythm.pause(rhythm.patience(true));
             assert!(reopened <= Duration::from_millis(4000), "{doors} doors: after {reopened:?}");
         }
     }
+    #[test]
+    fn whatever_becomes_of_calls_the_next_answer_is_due_before_a_change_counts_as_told() {
+        for doors in [2, 30, 300, 350, 1024] {
+            let mut rhythm = Rhythm::new(Service::Shared { doors }, u64::from(doors));
+            // Refused or turned away at once, reset or spoilt on the way, given up: in any order, and again.
+            let longest = rhythm.patience(true);
+            for n in 0..3000 {
+                let took = longest.mul_f64(f64::from(n * 7 % 11) / 10.0);
+                let blind = took + rhythm.pause(took);
+                // A call given up at the very moment of the return still leaves the next one 2 s.
+                let answer = rhythm.overdue.min(Duration::from_millis(2000));
+                assert!(blind + answer <= Duration::from_millis(6000), "{doors} doors: blind for {blind:?}");
+            }
+        }
+    }
 }
--- a/tests/front_door/discovery.rs
+++ b/tests/front_door/discovery.rs
@@ -3,7 +3,7 @@
 use crate::peers::*;
 use serde_json::json;
 use std::io::BufRead;
-use std::io::BufReader;
+use std::io::{BufReader, Write};
 use std::process::Stdio;
 use std::thread;
 
@@ -168,3 +168,45 @@
     drop(client);
     assert!(front.child.wait().expect("it ends").success());
 }
+
+#[test]
+fn whatever_became_of_a_call_the_next_one_brings_the_list() {
+    for mode in ["pushed", "on_request"] {
+        let (backend, new, agent) = (Peer::start(), Peer::start(), Peer::start());
+        let mut config = config(agent.address, list(&[target("s-00000001", backend.address, "ready")]));
+        config["settings"]["registryMode"] = json!(mode);
+        let front = Front::start(&config);
+        agent.next().break_off("");
+        agent.next().answer("500 Internal Server Error", "", "{}");
+        agent.next().answer("200 OK", "", "no list");
+        agent.next().break_off("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{\"rev\":9,");
+        agent.next().break_off("\u{1}\u{2}noise\r\n\r\n");
+        // One whose answer never ends is given up.
+        let mut slow = agent.next();
+        slow.stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{").expect("a part goes out");
+        slow.wait_for_close();
+        let targets = [target("s-00000002", new.address, "ready")];
+        agent.next().ok(&list(&targets).to_string());
+        agent.next();
+        let mut client = front.client();
+        client.send(&get(""));
+        new.next().ok("served");
+        assert_eq!(client.read().status(), 200);
+    }
+}
+
+#[test]
+fn a_list_of_a_thousand_backends_may_come_indented() {
+    let (backend, agent) = (Peer::start(), Peer::start());
+    let front = Front::start(&config(agent.address, list(&[])));
+    let state = |n: u32| if n == 700 { "ready" } else { "draining" };
+    let targets: Vec<_> =
+        (0..1024).map(|n| target(&format!("s-{n:08x}"), backend.address, state(n))).collect();
+    let text = serde_json::to_string_pretty(&list(&targets)).expect("it is JSON");
+    agent.next().ok(&text.replace("  ", "        "));
+    agent.next();
+    let mut client = front.client();
+    client.send(&get(""));
+    backend.next().ok("served");
+    assert_eq!(client.read().status(), 200);
+}
