--- /dev/null
+++ b/fault-soak/src/client.rs
@@ -0,0 +1,343 @@
+//! Clients: usual ones, and such that leave, write slowly, pipeline, stop half way, or make no sense.
+
+use crate::gateway::{Gateway, Intake};
+use crate::http::{Broken, Reader};
+use crate::ledger::{BadClient, Carrier, Ending, Ledger, Millis, RequestId, RequestRecord};
+use crate::proxy::reset_on_close;
+use crate::scenario::{Site, PLANS};
+use oorandom::Rand64;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+/// A client waits so much longer than it said before it counts its request as unanswered.
+const LONGER: Millis = 2500.0;
+/// Connections that are kept for further requests to one gateway.
+const KEPT: usize = 12;
+/// Customers of each plan.
+const CUSTOMERS: u64 = 4;
+
+/// What a client does with its connection and its request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Behaviour {
+    /// Sends one request and waits.
+    Usual,
+    /// Leaves before the answer.
+    Leave { after: Millis, reset: bool },
+    /// Writes its request in pieces.
+    Slow { over: Millis },
+    /// Sends some requests at once; may leave.
+    Pipeline { count: usize, leave: Option<Millis> },
+    /// Sends a request and over 16 KiB of further ones, then leaves.
+    Flood { leave: Millis },
+    /// Sends a part of a request and stays.
+    Half,
+    /// Sends what is no HTTP.
+    Noise,
+    /// Connects and says nothing.
+    Mute,
+    /// Names headers that a gateway has to pass on as ones of its connection alone.
+    HideHeaders,
+}
+
+/// What the clients of one gateway share.
+#[derive(Debug)]
+pub struct Clients {
+    /// The gateway that they ask.
+    pub gateway: Arc<Gateway>,
+    site: Arc<Site>,
+    ledger: Arc<Ledger>,
+    kept: Mutex<Vec<(Intake, Reader<TcpStream>)>>,
+    ids: Arc<AtomicU64>,
+    /// Most clients leave early while this is set.
+    pub leaving: Arc<AtomicBool>,
+}
+
+struct Draft {
+    id: RequestId,
+    record: RequestRecord,
+    bytes: Vec<u8>,
+}
+
+impl Clients {
+    /// The clients of one gateway; all of a run draw their requests' ids from `ids`.
+    pub fn new(
+        gateway: Arc<Gateway>,
+        site: Arc<Site>,
+        ledger: Arc<Ledger>,
+        ids: Arc<AtomicU64>,
+        leaving: Arc<AtomicBool>,
+    ) -> Arc<Clients> {
+        Arc::new(Clients { gateway, site, ledger, kept: Mutex::new(Vec::new()), ids, leaving })
+    }
+
+    /// Makes requests until the load ends: arrivals do not wait for answers.
+    pub async fn load(self: Arc<Self>, seed: u64) {
+        let mut rng = Rand64::new(u128::from(seed));
+        let mut open = tokio::task::JoinSet::new();
+        while self.ledger.now() < self.site.span {
+            let gap = -(1.0 - rng.rand_float()).ln() / self.site.rate;
+            sleep(Duration::from_secs_f64(gap)).await;
+            while open.try_join_next().is_some() {}
+            let client = self.clone();
+            let own = Rand64::new(u128::from(rng.rand_u64()));
+            open.spawn(async move { client.one(own).await });
+        }
+        while open.join_next().await.is_some() {}
+    }
+
+    fn behaviour(&self, rng: &mut Rand64) -> Behaviour {
+        let within = |rng: &mut Rand64, most: f64| most * rng.rand_float();
+        if self.leaving.load(Ordering::Relaxed) && rng.rand_float() < 0.7 {
+            return Behaviour::Leave { after: within(rng, 60.0), reset: rng.rand_float() < 0.5 };
+        }
+        let behind = rng.rand_float() < 0.5;
+        match rng.rand_range(0..100) {
+            0..=5 => Behaviour::Leave { after: within(rng, 200.0), reset: behind },
+            6..=8 => Behaviour::Slow { over: within(rng, 1500.0) },
+            9..=12 => {
+                let leave = behind.then_some(within(rng, 300.0));
+                Behaviour::Pipeline { count: 2 + rng.rand_range(0..5) as usize, leave }
+            }
+            13 => Behaviour::Flood { leave: within(rng, 200.0) },
+            14 => Behaviour::Half,
+            15 => Behaviour::Noise,
+            16 => Behaviour::Mute,
+            17 => Behaviour::HideHeaders,
+            _ => Behaviour::Usual,
+        }
+    }
+
+    async fn one(&self, mut rng: Rand64) {
+        let Some(intake) = self.gateway.intake() else { return };
+        let behaviour = self.behaviour(&mut rng);
+        match behaviour {
+            Behaviour::Half | Behaviour::Noise | Behaviour::Mute => {
+                self.bad(behaviour, intake, &mut rng).await
+            }
+            _ => self.ask(behaviour, intake, &mut rng).await,
+        }
+    }
+
+    fn draft(&self, rng: &mut Rand64, intake: Intake, carrier: Carrier, hide: bool) -> Draft {
+        let id = self.ids.fetch_add(1, Ordering::Relaxed);
+        let class = &self.site.classes[rng.rand_range(0..self.site.classes.len() as u64) as usize];
+        // Most customers are far from any limit.
+        let plan = if rng.rand_float() < 0.6 { 0 } else { rng.rand_range(0..PLANS.len() as u64) as usize };
+        let customer = (plan as u64 + 1) * 0x1000 + rng.rand_range(0..CUSTOMERS);
+        let patience = (class.deadline * (0.3 + 0.7 * rng.rand_float())).round();
+        let method = if class.effect == crate::ledger::Effect::Free { "GET" } else { "POST" };
+        let body = if method == "POST" { "x".repeat(rng.rand_range(0..400) as usize) } else { String::new() };
+        let mut head = format!(
+            "{method} /{name}/{id} HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: {id:016x}\r\nX-Class: {name}\r\n\
+             Plan: {plan}\r\nCookie: client={customer:016x}\r\nX-Deadline: {patience}m\r\n\
+             Quota-Info: units=1,spread={spread},first=0\r\n",
+            name = class.name,
+            plan = PLANS[plan].name(),
+            spread = self.site.gateways,
+        );
+        if class.effect == crate::ledger::Effect::Keyed {
+            head.push_str(&format!("Idempotency-Key: {id:032x}\r\n"));
+        }
+        if hide {
+            head.push_str("Connection: keep-alive, X-Request-Id, Idempotency-Key, X-Deadline\r\n");
+        }
+        if method == "POST" {
+            head.push_str(&format!("Content-Length: {}\r\n", body.len()));
+        }
+        let bytes = format!("{head}\r\n{body}").into_bytes();
+        let record = RequestRecord {
+            id,
+            gateway: self.gateway.index,
+            life: intake.life,
+            customer,
+            plan,
+            effect: class.effect,
+            carrier,
+            sent_at: self.ledger.now(),
+            patience,
+            turn_at: 0.0,
+            left_at: None,
+            ending: None,
+        };
+        Draft { id, record, bytes }
+    }
+
+    /// A connection to the gateway, and whether it was used before.
+    async fn connection(&self, intake: Intake) -> Option<(Reader<TcpStream>, Carrier)> {
+        loop {
+            let kept = self.kept.lock().expect("no one panics while holding it").pop();
+            match kept {
+                Some((of, reader)) if of.life == intake.life => return Some((reader, Carrier::Reused)),
+                Some(_) => {}
+                None => break,
+            }
+        }
+        if !intake.connects {
+            return None;
+        }
+        let stream = TcpStream::connect(self.gateway.address).await.ok()?;
+        let _ = stream.set_nodelay(true);
+        Some((Reader::new(stream), Carrier::New))
+    }
+
+    async fn ask(&self, behaviour: Behaviour, intake: Intake, rng: &mut Rand64) {
+        let Some((mut reader, carrier)) = self.connection(intake).await else { return };
+        let count = match behaviour {
+            Behaviour::Pipeline { count, .. } => count,
+            Behaviour::Flood { .. } => 60,
+            _ => 1,
+        };
+        let hide = behaviour == Behaviour::HideHeaders;
+        let mut drafts = Vec::new();
+        for nth in 0..count {
+            let carrier = if nth == 0 { carrier } else { Carrier::Pipelined };
+            drafts.push(self.draft(rng, intake, carrier, hide));
+        }
+        let all: Vec<u8> = drafts.iter().flat_map(|draft| draft.bytes.iter().copied()).collect();
+        if let Behaviour::Slow { over } = behaviour {
+            if !self.write_slowly(&mut reader, &all, over, rng).await {
+                // It never sent a whole request.
+                return;
+            }
+        }
+        let now = self.ledger.now();
+        self.ledger.with(|records| {
+            for draft in &drafts {
+                let record = RequestRecord { sent_at: now, ..draft.record.clone() };
+                records.requests.insert(draft.id, record);
+            }
+        });
+        if !matches!(behaviour, Behaviour::Slow { .. }) {
+            // A failed write shows in the reading.
+            let _ = timeout(Duration::from_secs(1), reader.stream.write_all(&all)).await;
+        }
+        let leave = match behaviour {
+            Behaviour::Leave { after, reset } => Some((after, reset)),
+            Behaviour::Pipeline { leave, .. } => leave.map(|after| (after, false)),
+            Behaviour::Flood { leave } => Some((leave, false)),
+            _ => None,
+        };
+        if let Some((after, reset)) = leave {
+            sleep(Duration::from_secs_f64(after / 1000.0)).await;
+            if reset {
+                reset_on_close(&reader.stream);
+            }
+            let left_at = self.ledger.now();
+            drop(reader);
+            for draft in &drafts {
+                self.ledger.request(draft.id, |request| request.left_at = Some(left_at));
+            }
+            return;
+        }
+        self.read_answers(reader, &drafts, intake).await;
+    }
+
+    /// Writes in pieces; false if the connection broke before the last byte.
+    async fn write_slowly(
+        &self,
+        reader: &mut Reader<TcpStream>,
+        bytes: &[u8],
+        over: Millis,
+        rng: &mut Rand64,
+    ) -> bool {
+        let pieces = 2 + rng.rand_range(0..4) as usize;
+        for part in bytes.chunks(bytes.len().div_ceil(pieces)) {
+            sleep(Duration::from_secs_f64(over / pieces as f64 / 1000.0)).await;
+            if reader.stream.write_all(part).await.is_err() {
+                return false;
+            }
+        }
+        true
+    }
+
+    async fn read_answers(&self, mut reader: Reader<TcpStream>, drafts: &[Draft], intake: Intake) {
+        let mut turn_at = 0.0;
+        for (nth, draft) in drafts.iter().enumerate() {
+            self.ledger.request(draft.id, |request| request.turn_at = turn_at);
+            let wait = Duration::from_secs_f64((draft.record.patience + LONGER) / 1000.0);
+            let ending = match timeout(wait, reader.message()).await {
+                Ok(Ok(answer)) => {
+                    let genuine = answer.body.starts_with(format!("{:016x} ", draft.id).as_bytes());
+                    let closes = answer.header("connection") == Some("close");
+                    let now = self.ledger.now();
+                    let ending = Ending::Answer { status: answer.status(), genuine };
+                    self.ledger.request(draft.id, |request| request.ending = Some((ending, now)));
+                    turn_at = now;
+                    if closes {
+                        self.rest_was_announced(&drafts[nth + 1..]);
+                        return;
+                    }
+                    continue;
+                }
+                Ok(Err(broken)) => ending_of(&broken),
+                Err(_) => Ending::Silence,
+            };
+            let now = self.ledger.now();
+            for rest in &drafts[nth..] {
+                self.ledger.request(rest.id, |request| request.ending = Some((ending.clone(), now)));
+            }
+            return;
+        }
+        let mut kept = self.kept.lock().expect("no one panics while holding it");
+        if kept.len() < KEPT {
+            kept.push((intake, reader));
+        }
+    }
+
+    /// What was pipelined behind an answer that closes its connection was not taken, if it was not read.
+    fn rest_was_announced(&self, rest: &[Draft]) {
+        let now = self.ledger.now();
+        for draft in rest {
+            let ending = Ending::Closed { reset: false };
+            self.ledger.request(draft.id, |request| request.ending = Some((ending, now)));
+        }
+    }
+
+    async fn bad(&self, behaviour: Behaviour, intake: Intake, rng: &mut Rand64) {
+        if !intake.connects {
+            return;
+        }
+        let began = self.ledger.now();
+        let Ok(mut stream) = TcpStream::connect(self.gateway.address).await else { return };
+        let (what, bytes): (&str, Vec<u8>) = match behaviour {
+            Behaviour::Half => {
+                let bytes = self.draft(rng, intake, Carrier::New, false).bytes;
+                ("half a request", bytes[..bytes.len() / 2].to_vec())
+            }
+            Behaviour::Noise => ("noise", b"\x00\x01 what is this\r\n\r\n".to_vec()),
+            _ => ("nothing", Vec::new()),
+        };
+        let place = self.ledger.with(|records| {
+            let (gateway, life) = (self.gateway.index, intake.life);
+            records.bad_clients.push(BadClient { gateway, life, what, began, ended: None });
+            records.bad_clients.len() - 1
+        });
+        let _ = stream.write_all(&bytes).await;
+        let mut reader = Reader::new(stream);
+        let wait = Duration::from_millis(6000);
+        if timeout(wait, reader.first_byte()).await.is_ok() {
+            let now = self.ledger.now();
+            self.ledger.with(|records| records.bad_clients[place].ended = Some(now));
+        }
+    }
+}
+
+fn ending_of(broken: &Broken) -> Ending {
+    Ending::Closed { reset: broken.is_reset() }
+}
+
+/// Connects idly to a gateway until `until` resolves: as many connections as it takes.
+pub async fn idle_crowd(gateway: Arc<Gateway>, count: usize, span: Duration) {
+    let mut crowd = Vec::new();
+    for _ in 0..count {
+        if let Ok(Ok(stream)) = timeout(Duration::from_millis(50), TcpStream::connect(gateway.address)).await
+        {
+            crowd.push(stream);
+        }
+    }
+    sleep(span).await;
+}
--- /dev/null
+++ b/fault-soak/src/counter.rs
@@ -0,0 +1,114 @@
+//! The shared counter: it adds to named numbers, and misbehaves as it is told.
+
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{timeout, Instant};
+
+/// What the counter does with calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Mood {
+    /// Adds and answers.
+    #[default]
+    Usual,
+    /// Turns calls away.
+    Busy,
+    /// Adds and never answers.
+    Silent,
+    /// Adds and answers without a number.
+    Spoilt,
+    /// Closes connections.
+    Down,
+}
+
+/// A connection that has stood idle for so long is closed.
+const IDLE: Duration = Duration::from_secs(2);
+
+#[derive(Debug, Clone, Copy)]
+struct Number {
+    total: f64,
+    until: Instant,
+}
+
+/// The counter's handle.
+#[derive(Debug)]
+pub struct Counter {
+    /// Where it listens.
+    pub address: SocketAddr,
+    mood: Arc<Mutex<Mood>>,
+    numbers: Arc<Mutex<HashMap<String, Number>>>,
+}
+
+impl Counter {
+    /// Starts a counter.
+    pub async fn start() -> Counter {
+        let listener = TcpListener::bind((Ipv4Addr::new(127, 88, 0, 3), 0)).await.expect("a free port");
+        let address = listener.local_addr().expect("a bound socket has an address");
+        let (mood, numbers) = (Arc::new(Mutex::new(Mood::Usual)), Arc::default());
+        let (seen, kept) = (Arc::clone(&mood), Arc::clone(&numbers));
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, Arc::clone(&seen), Arc::clone(&kept)));
+            }
+        });
+        Counter { address, mood, numbers }
+    }
+
+    /// Changes what it does from the next call on.
+    pub fn behave(&self, mood: Mood) {
+        *self.mood.lock().expect("no one panics while holding it") = mood;
+    }
+
+    /// How many names it keeps.
+    pub fn names(&self) -> usize {
+        self.numbers.lock().expect("no one panics while holding it").len()
+    }
+}
+
+async fn serve(stream: TcpStream, mood: Arc<Mutex<Mood>>, numbers: Arc<Mutex<HashMap<String, Number>>>) {
+    let _ = stream.set_nodelay(true);
+    let mut stream = BufReader::new(stream);
+    loop {
+        let mut line = String::new();
+        match timeout(IDLE, stream.read_line(&mut line)).await {
+            Ok(Ok(count)) if count > 0 => {}
+            _ => return,
+        }
+        let mood = *mood.lock().expect("no one panics while holding it");
+        let answer = match mood {
+            Mood::Busy => Some("busy\r\n".to_string()),
+            Mood::Down => return,
+            Mood::Usual | Mood::Silent | Mood::Spoilt => match add(&line, &numbers) {
+                None => Some("error\r\n".to_string()),
+                Some(_) if mood == Mood::Silent => None,
+                Some(_) if mood == Mood::Spoilt => Some("ok much\r\n".to_string()),
+                Some(total) => Some(format!("ok {total}\r\n")),
+            },
+        };
+        if let Some(answer) = answer {
+            if stream.write_all(answer.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+fn add(line: &str, numbers: &Mutex<HashMap<String, Number>>) -> Option<f64> {
+    let mut words = line.split_ascii_whitespace();
+    let (verb, name) = (words.next()?, words.next()?);
+    let amount: f64 = words.next()?.parse().ok()?;
+    let life: u64 = words.next()?.parse().ok()?;
+    if verb != "add" || name.len() > 64 || words.next().is_some() {
+        return None;
+    }
+    let now = Instant::now();
+    let mut numbers = numbers.lock().expect("no one panics while holding it");
+    numbers.retain(|_, number| number.until > now);
+    let fresh = Number { total: 0.0, until: now + Duration::from_millis(life.clamp(1, 60_000)) };
+    let number = numbers.entry(name.to_string()).or_insert(fresh);
+    number.total += amount;
+    Some(number.total)
+}
--- /dev/null
+++ b/fault-soak/src/gateway.rs
@@ -0,0 +1,245 @@
+//! Gateway processes: their configuration, starts, signals and ends.
+
+use crate::http::Reader;
+use crate::ledger::{Ledger, Life, Millis};
+use crate::scenario::Site;
+use crate::shim::{Control, Faults};
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+use std::fs::{self, File};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::process::Command;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+/// New connections go on coming for so long after SIGTERM.
+pub const CONNECTS_AFTER_TERM: Millis = 300.0;
+/// The longest deadline that counts for when SIGKILL comes, and how much later than that it comes.
+const LONGEST_COUNTED: Millis = 3000.0;
+const KILL_AFTER: Millis = 700.0;
+/// A gateway that is not ready by then is given up.
+const READY_WITHIN: Duration = Duration::from_secs(30);
+
+/// One gateway, over all its lives.
+#[derive(Debug)]
+pub struct Gateway {
+    /// Its number.
+    pub index: usize,
+    /// Where it listens.
+    pub address: SocketAddr,
+    ledger: Arc<Ledger>,
+    control: Control,
+    program: PathBuf,
+    shim: Option<PathBuf>,
+    config: PathBuf,
+    log: PathBuf,
+    state: Mutex<Process>,
+    /// The number of the life that is over last, plus one.
+    ended: watch::Sender<usize>,
+}
+
+#[derive(Debug, Default)]
+struct Process {
+    pid: Option<Pid>,
+    life: usize,
+    ready: bool,
+    terminated: Option<Millis>,
+}
+
+/// Whether a gateway can be asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Intake {
+    /// Which life of it runs.
+    pub life: usize,
+    /// Whether new connections go to it.
+    pub connects: bool,
+}
+
+/// What a gateway's configuration says beside the site's settings.
+#[derive(Debug, Clone)]
+pub struct Told {
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// Where the counter is.
+    pub counter: SocketAddr,
+    /// The list as the gateway last held it.
+    pub known: Value,
+}
+
+impl Gateway {
+    /// A gateway that is not running yet, with its files in `folder`.
+    ///
+    /// # Errors
+    /// What the system says of the files.
+    pub fn new(
+        index: usize,
+        ledger: Arc<Ledger>,
+        program: &Path,
+        shim: Option<&Path>,
+        folder: &Path,
+    ) -> io::Result<Gateway> {
+        // Gateways keep their ports over their lives; nothing else takes one at an address of its own.
+        let ip = Ipv4Addr::new(127, 87, (std::process::id() % 250) as u8, (index + 1) as u8);
+        let address = std::net::TcpListener::bind((ip, 0))?.local_addr()?;
+        Ok(Gateway {
+            index,
+            address,
+            ledger,
+            control: Control::create(folder.join(format!("shim-{index}.control")))?,
+            program: program.to_path_buf(),
+            shim: shim.map(Path::to_path_buf),
+            config: folder.join(format!("gateway-config-{index}.json")),
+            log: folder.join(format!("gateway-{index}.log")),
+            state: Mutex::new(Process::default()),
+            ended: watch::Sender::new(0),
+        })
+    }
+
+    /// Sets which system calls fail.
+    pub fn faults(&self, faults: Faults) {
+        self.control.set(faults);
+    }
+
+    /// Whether it can be asked.
+    pub fn intake(&self) -> Option<Intake> {
+        let state = self.state.lock().expect("no one panics while holding it");
+        if !state.ready {
+            return None;
+        }
+        let connects = state.terminated.is_none_or(|at| self.ledger.now() < at + CONNECTS_AFTER_TERM);
+        Some(Intake { life: state.life, connects })
+    }
+
+    /// Writes its configuration.
+    pub fn configure(&self, site: &Site, told: &Told) {
+        let config = json!({
+            "name": format!("n{}", self.index), "listen": self.address.to_string(),
+            "discovery": told.discovery.to_string(), "seed": format!("{:016x}", self.ledger.now().to_bits()),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": site.descriptors},
+            "counter": told.counter.to_string(), "known": told.known, "settings": site.settings(self.index),
+        });
+        let half_written = self.config.with_extension("new");
+        fs::write(&half_written, config.to_string()).expect("the folder takes files");
+        fs::rename(&half_written, &self.config).expect("the folder takes files");
+    }
+
+    /// Starts it and waits until it is ready; false if it is not within 30 s.
+    pub async fn start(self: &Arc<Self>, told: &Told) -> bool {
+        let log = File::options().create(true).append(true).open(&self.log).expect("the folder takes files");
+        let mut command = Command::new(&self.program);
+        command
+            .env("BALANCER_NAME", format!("n{}", self.index))
+            .env("BALANCER_LISTEN", self.address.to_string())
+            .env("BALANCER_DISCOVERY", told.discovery.to_string())
+            .env("BALANCER_CONFIG", &self.config)
+            .stdout(Stdio::null())
+            .stderr(log)
+            .kill_on_drop(true);
+        if let Some(shim) = &self.shim {
+            command.env("LD_PRELOAD", shim).env("FAULT_SHIM_CONTROL", &self.control.path);
+        }
+        let mut child = command.spawn().expect("the gateway's program can be started");
+        let life =
+            Life { started: self.ledger.now(), ready: None, terminated: None, killed: None, ended: None };
+        let number = self.ledger.with(|records| {
+            records.lives[self.index].push(life);
+            records.lives[self.index].len() - 1
+        });
+        let pid = child.id().and_then(|id| Pid::from_raw(id as i32));
+        *self.state.lock().expect("no one panics while holding it") =
+            Process { pid, life: number, ready: false, terminated: None };
+        let gateway = self.clone();
+        tokio::spawn(async move {
+            let status = child.wait().await;
+            let now = gateway.ledger.now();
+            let success = status.is_ok_and(|status| status.success());
+            gateway.ledger.with(|records| records.lives[gateway.index][number].ended = Some((now, success)));
+            *gateway.state.lock().expect("no one panics while holding it") = Process::default();
+            gateway.ended.send_replace(number + 1);
+        });
+        let ready = timeout(READY_WITHIN, async {
+            while !self.is_ready().await {
+                sleep(Duration::from_millis(10)).await;
+            }
+        });
+        if ready.await.is_err() {
+            return false;
+        }
+        let now = self.ledger.now();
+        self.ledger.with(|records| records.lives[self.index][number].ready = Some(now));
+        self.state.lock().expect("no one panics while holding it").ready = true;
+        true
+    }
+
+    async fn is_ready(&self) -> bool {
+        let ask = async {
+            let mut stream = TcpStream::connect(self.address).await.ok()?;
+            stream.write_all(b"GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n").await.ok()?;
+            Reader::new(stream).message().await.ok()
+        };
+        timeout(Duration::from_secs(1), ask)
+            .await
+            .is_ok_and(|answer| answer.is_some_and(|got| got.status() == 200))
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        let pid = self.state.lock().expect("no one panics while holding it").pid;
+        if let Some(pid) = pid {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Kills it without a word and waits for its end.
+    pub async fn kill(&self) {
+        let Some(life) = self.running_life() else { return };
+        let now = self.ledger.now();
+        self.ledger.with(|records| {
+            if let Some(life) = records.lives[self.index].get_mut(life) {
+                life.killed.get_or_insert(now);
+            }
+        });
+        self.signal(Signal::KILL);
+        self.wait_for_end(life).await;
+    }
+
+    /// Tells it to end, and kills it if it has not by the time that the rules name.
+    pub async fn terminate(&self, longest_deadline: Millis) {
+        let Some(life) = self.running_life() else { return };
+        let now = self.ledger.now();
+        self.state.lock().expect("no one panics while holding it").terminated = Some(now);
+        self.ledger.with(|records| {
+            if let Some(life) = records.lives[self.index].get_mut(life) {
+                life.terminated = Some(now);
+            }
+        });
+        self.signal(Signal::TERM);
+        let grace = Duration::from_secs_f64((longest_deadline.min(LONGEST_COUNTED) + KILL_AFTER) / 1000.0);
+        if timeout(grace, self.wait_for_end(life)).await.is_err() {
+            self.kill().await;
+        }
+    }
+
+    /// Stops the process and lets it go on.
+    pub async fn hold(&self, span: Duration) {
+        self.signal(Signal::STOP);
+        sleep(span).await;
+        self.signal(Signal::CONT);
+    }
+
+    fn running_life(&self) -> Option<usize> {
+        let state = self.state.lock().expect("no one panics while holding it");
+        state.pid.map(|_| state.life)
+    }
+
+    async fn wait_for_end(&self, life: usize) {
+        let _ = self.ended.subscribe().wait_for(|ended| *ended > life).await;
+    }
+}
--- /dev/null
+++ b/fault-soak/src/invariants.rs
@@ -0,0 +1,325 @@
+//! The oracle: the rules of the service, checked on the records of a run after it is over.
+
+use crate::ledger::{
+    AttemptRecord, Carrier, Effect, Ending, Life, Millis, Records, RequestId, RequestRecord,
+};
+use crate::scenario::{Plan, Site, CEILING_RATE, CEILING_SLACK, CEILING_STORE, PLANS};
+use std::collections::HashMap;
+use std::fmt;
+
+/// What the stand-ins may be late by, beyond what the rules allow.
+const RIG_SLACK: Millis = 60.0;
+/// The rules' own slack on every limit on sockets.
+const SOCKET_SLACK: Millis = 50.0;
+/// An attempt may begin so long after its client left.
+const LEAVE_GRACE: Millis = 100.0;
+/// How much more than what the client has left a server may be told.
+const DEADLINE_SLACK: Millis = 150.0;
+/// An answer may come so long after its time.
+const ANSWER_GRACE: Millis = 500.0;
+/// A window of repeats is exceeded by a process that is held up for so long.
+const HOLD_SLACK: Millis = 150.0;
+/// An end of a used connection that crosses a request comes within this.
+const CROSSING: Millis = 60.0;
+/// A bad client is owed an error or a close within this.
+const BAD_CLIENT_ENDS: Millis = 3000.0;
+/// A gateway is ready within this.
+const READY_WITHIN: Millis = 10_000.0;
+/// What SIGKILL finds unanswered is lost if it came later than this after SIGTERM.
+const BEFORE_KILL: Millis = 700.0;
+
+/// The rules.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Rule {
+    /// Each request that was taken gets its final answer in time.
+    Lost,
+    /// No request takes effect more often than its class allows.
+    Duplicate,
+    /// No answer but what a server made for the request is passed on as served.
+    Foreign,
+    /// A refused request has no effect.
+    Refused,
+    /// Nothing new goes to a server that drains or is gone.
+    Drain,
+    /// No attempt begins once its client has left.
+    Leave,
+    /// No server is told more time than the client has left.
+    Deadline,
+    /// A cold server is not tipped over.
+    SlowStart,
+    /// A ceiling holds over all gateways.
+    Ceiling,
+    /// A gateway does not crash, and is ready in time.
+    Process,
+    /// Bad clients get an error or a close in time.
+    BadClient,
+    /// What is sent to servers carries its request's id, and its key where the class wants one.
+    Malformed,
+}
+
+/// A rule that was broken.
+#[derive(Debug, Clone)]
+pub struct Violation {
+    /// Which.
+    pub rule: Rule,
+    /// The request, if it is about one.
+    pub request: Option<RequestId>,
+    /// When.
+    pub at: Millis,
+    /// The records that show it.
+    pub text: String,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?} at {:.0} ms: {}", self.rule, self.at, self.text)
+    }
+}
+
+/// Checks all rules.
+pub fn check(site: &Site, records: &Records) -> Vec<Violation> {
+    let mut attempts: HashMap<RequestId, Vec<&AttemptRecord>> = HashMap::new();
+    for attempt in &records.attempts {
+        if let Some(request) = attempt.request {
+            attempts.entry(request).or_default().push(attempt);
+        }
+    }
+    let oracle = Oracle { site, records, attempts };
+    let mut found = Vec::new();
+    for request in records.requests.values() {
+        oracle.answered(request, &mut found);
+        oracle.no_duplicate(request, &mut found);
+        oracle.no_send_after_leave(request, &mut found);
+        oracle.no_longer_deadline(request, &mut found);
+    }
+    oracle.well_formed(&mut found);
+    oracle.no_send_to_drained(&mut found);
+    oracle.slow_start(&mut found);
+    oracle.ceilings(&mut found);
+    oracle.processes(&mut found);
+    oracle.bad_clients(&mut found);
+    found.sort_by(|one, other| one.at.total_cmp(&other.at));
+    found
+}
+
+struct Oracle<'a> {
+    site: &'a Site,
+    records: &'a Records,
+    attempts: HashMap<RequestId, Vec<&'a AttemptRecord>>,
+}
+
+fn violation(rule: Rule, request: Option<RequestId>, at: Millis, text: String) -> Violation {
+    Violation { rule, request, at, text }
+}
+
+impl Oracle<'_> {
+    fn attempts(&self, request: RequestId) -> &[&AttemptRecord] {
+        self.attempts.get(&request).map_or(&[], Vec::as_slice)
+    }
+
+    fn life(&self, gateway: usize, life: usize) -> Option<&Life> {
+        self.records.lives.get(gateway)?.get(life)
+    }
+
+    /// Whether a kill frees the gateway of the answer.
+    fn freed_by_kill(&self, request: &RequestRecord) -> bool {
+        let Some(life) = self.life(request.gateway, request.life) else { return true };
+        match (life.killed, life.terminated) {
+            (None, _) => false,
+            (Some(_), Some(terminated)) => request.sent_at < terminated + BEFORE_KILL,
+            (Some(_), None) => true,
+        }
+    }
+
+    fn answered(&self, request: &RequestRecord, found: &mut Vec<Violation>) {
+        if request.left_at.is_some() {
+            return;
+        }
+        let attempts = self.attempts(request.id);
+        let mut broken = |rule, at, why: &str| {
+            let text = format!("{why}; {request:?}; attempts {attempts:?}");
+            found.push(violation(rule, Some(request.id), at, text));
+        };
+        match &request.ending {
+            None => {}
+            Some((Ending::Answer { status, genuine }, at)) => {
+                // Answers come in order: one that was pipelined can come no sooner than the one before it.
+                if *at > request.expires_at().max(request.turn_at) + ANSWER_GRACE + RIG_SLACK {
+                    broken(Rule::Lost, *at, "answered too late");
+                }
+                if *status == 200 && !genuine {
+                    broken(Rule::Foreign, *at, "served what no server made for it");
+                }
+                if matches!(status, 429 | 503) && attempts.iter().any(|attempt| attempt.ran) {
+                    broken(Rule::Refused, *at, "refused, and it ran");
+                }
+            }
+            Some((_, at)) if self.freed_by_kill(request) => {
+                let _ = at;
+            }
+            Some((Ending::Silence, at)) => broken(Rule::Lost, *at, "never answered"),
+            Some((Ending::Closed { reset }, at)) => {
+                let crossing = request.carrier != Carrier::New
+                    && attempts.is_empty()
+                    && (*reset || *at <= request.sent_at + CROSSING);
+                if !crossing {
+                    broken(Rule::Lost, *at, "closed without an answer");
+                }
+            }
+        }
+    }
+
+    fn no_duplicate(&self, request: &RequestRecord, found: &mut Vec<Violation>) {
+        let attempts = self.attempts(request.id);
+        let ran: Vec<&&AttemptRecord> = attempts.iter().filter(|attempt| attempt.ran).collect();
+        let (Some(first), Some(last)) = (ran.first(), ran.last()) else { return };
+        let wrong = match request.effect {
+            Effect::Free => false,
+            Effect::Once => ran.len() > 1,
+            Effect::Keyed => last.begun_at > first.begun_at + self.site.window + HOLD_SLACK + SOCKET_SLACK,
+        };
+        if wrong {
+            let text = format!("{:?} ran {} times: {ran:?}", request.effect, ran.len());
+            found.push(violation(Rule::Duplicate, Some(request.id), last.begun_at, text));
+        }
+    }
+
+    fn no_send_after_leave(&self, request: &RequestRecord, found: &mut Vec<Violation>) {
+        let Some(left_at) = request.left_at else { return };
+        for attempt in self.attempts(request.id) {
+            let late = attempt.begun_at - left_at;
+            if late > LEAVE_GRACE + RIG_SLACK {
+                let text = format!("begun {late:.0} ms after its client left; {request:?}; {attempt:?}");
+                found.push(violation(Rule::Leave, Some(request.id), attempt.begun_at, text));
+            }
+        }
+    }
+
+    fn no_longer_deadline(&self, request: &RequestRecord, found: &mut Vec<Violation>) {
+        for attempt in self.attempts(request.id) {
+            let left = request.expires_at() - attempt.begun_at;
+            let Some(told) = attempt.told else { continue };
+            if told > left + DEADLINE_SLACK + RIG_SLACK {
+                let text = format!("told {told:.0} ms with {left:.0} ms left; {request:?}; {attempt:?}");
+                found.push(violation(Rule::Deadline, Some(request.id), attempt.begun_at, text));
+            }
+        }
+    }
+
+    fn well_formed(&self, found: &mut Vec<Violation>) {
+        for attempt in self.records.attempts.iter().filter(|attempt| attempt.whole_at.is_some()) {
+            let request = attempt.request.and_then(|id| self.records.requests.get(&id));
+            let wrong = match request {
+                None => Some("it carries no request's id"),
+                Some(request) if request.effect == Effect::Keyed && !attempt.keyed => Some("it lost its key"),
+                Some(_) => None,
+            };
+            if let Some(wrong) = wrong {
+                let text = format!("{wrong}; {attempt:?}");
+                found.push(violation(Rule::Malformed, attempt.request, attempt.begun_at, text));
+            }
+        }
+    }
+
+    fn no_send_to_drained(&self, found: &mut Vec<Violation>) {
+        let told: HashMap<(usize, &str), Millis> =
+            self.records.told.iter().map(|told| ((told.gateway, told.server.as_str()), told.at)).collect();
+        for attempt in &self.records.attempts {
+            let Some(request) = attempt.request.and_then(|id| self.records.requests.get(&id)) else {
+                continue;
+            };
+            let Some(told_at) = told.get(&(request.gateway, attempt.server.as_str())) else { continue };
+            let late = attempt.begun_at - told_at;
+            if late > self.site.drain_grace + SOCKET_SLACK + RIG_SLACK {
+                let text = format!("sent {late:.0} ms after it was told; {request:?}; {attempt:?}");
+                found.push(violation(Rule::Drain, Some(request.id), attempt.begun_at, text));
+            }
+        }
+    }
+
+    fn slow_start(&self, found: &mut Vec<Violation>) {
+        for start in &self.records.cold_starts {
+            let site = self.site;
+            let mut times: Vec<Millis> = self
+                .records
+                .attempts
+                .iter()
+                .filter(|attempt| attempt.server == start.server)
+                .filter_map(|attempt| attempt.whole_at)
+                .filter(|at| *at > start.at && *at < start.at + site.cold_for)
+                .collect();
+            times.sort_by(f64::total_cmp);
+            for (last, at) in times.iter().enumerate() {
+                let warmth = site.cold_from + (1.0 - site.cold_from) * (at - start.at) / site.cold_for;
+                let allowed = site.tip_multiple * warmth * start.capacity * site.tip_after / 1000.0;
+                let factor = if allowed < 30.0 { (3.0, 3.0) } else { (2.0, 2.0) };
+                let bound = allowed + factor.0 * allowed.sqrt() + factor.1;
+                let got = times[..=last].iter().filter(|other| **other > at - site.tip_after).count();
+                if got as f64 > bound {
+                    let text = format!("{got} requests of {bound:.1} in {:.0} ms; {start:?}", site.tip_after);
+                    found.push(violation(Rule::SlowStart, None, *at, text));
+                    break;
+                }
+            }
+        }
+    }
+
+    fn ceilings(&self, found: &mut Vec<Violation>) {
+        let mut tries: HashMap<u64, Vec<Millis>> = HashMap::new();
+        for request in self.records.requests.values().filter(|request| PLANS[request.plan] == Plan::Ceiling) {
+            let first = self.attempts(request.id).iter().filter_map(|attempt| attempt.whole_at);
+            if let Some(at) = first.reduce(f64::min) {
+                tries.entry(request.customer).or_default().push(at);
+            }
+        }
+        let slack = CEILING_SLACK + CEILING_RATE * HOLD_SLACK / 1000.0;
+        for (customer, mut times) in tries {
+            times.sort_by(f64::total_cmp);
+            let (mut store, mut last) = (CEILING_STORE, 0.0);
+            for at in times {
+                store = (store + (at - last) / 1000.0 * CEILING_RATE).min(CEILING_STORE) - 1.0;
+                last = at;
+                if store < -slack {
+                    let text = format!("customer {customer:x} is {:.1} below nothing", -store);
+                    found.push(violation(Rule::Ceiling, None, at, text));
+                    break;
+                }
+            }
+        }
+    }
+
+    fn processes(&self, found: &mut Vec<Violation>) {
+        for (gateway, lives) in self.records.lives.iter().enumerate() {
+            for (number, life) in lives.iter().enumerate() {
+                let mut broken = |at, why: String| {
+                    let text = format!("gateway {gateway}, life {number}: {why}; {life:?}");
+                    found.push(violation(Rule::Process, None, at, text));
+                };
+                match (life.ended, life.killed, life.terminated) {
+                    (Some((at, _)), None, None) => broken(at, "it ended by itself".into()),
+                    (Some((at, false)), None, Some(_)) => broken(at, "it ended with an error".into()),
+                    _ => {}
+                }
+                let until = life.ready.or(life.ended.map(|(at, _)| at));
+                if until.is_some_and(|at| at - life.started > READY_WITHIN) {
+                    broken(life.started, "it was not ready in time".into());
+                }
+            }
+        }
+    }
+
+    fn bad_clients(&self, found: &mut Vec<Violation>) {
+        for client in &self.records.bad_clients {
+            let life = self.life(client.gateway, client.life);
+            let over = life.and_then(|life| life.killed.or(life.ended.map(|(at, _)| at)));
+            let late = match (client.ended, over) {
+                (Some(at), _) => at - client.began > BAD_CLIENT_ENDS + RIG_SLACK,
+                (None, Some(_)) => false,
+                (None, None) => true,
+            };
+            if late {
+                found.push(violation(Rule::BadClient, None, client.began, format!("{client:?}")));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/fault-soak/src/main.rs
@@ -0,0 +1,116 @@
+//! The command: plays seeds one after another and prints what broke.
+
+use clap::Parser;
+use fault_soak::ledger::Ending;
+use fault_soak::run::{play, Report, Setup};
+use fault_soak::scenario::Scenario;
+use fault_soak::shim;
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Plays randomized faults against real gateway processes and checks the rules of the service.
+#[derive(Debug, Parser)]
+struct Arguments {
+    /// The gateway's program.
+    #[arg(long, default_value = "target/release/brassport")]
+    gateway: PathBuf,
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// How many seeds are played.
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    /// Gateway processes.
+    #[arg(long, default_value_t = 10)]
+    gateways: usize,
+    /// Seconds of load.
+    #[arg(long, default_value_t = 12.0)]
+    seconds: f64,
+    /// The folder for configurations and logs.
+    #[arg(long, default_value = "target/fault-soak")]
+    folder: PathBuf,
+    /// Violations of each seed that are printed in full.
+    #[arg(long, default_value_t = 3)]
+    shown: usize,
+    /// Prints the troubles of each seed.
+    #[arg(long)]
+    troubles: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(3).enable_all().build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("fault-soak: cannot start: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(play_seeds(&arguments)) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("fault-soak: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Returns how many seeds broke a rule.
+async fn play_seeds(arguments: &Arguments) -> std::io::Result<usize> {
+    fs::create_dir_all(&arguments.folder)?;
+    let shim = shim::build(&arguments.folder)?;
+    let mut broken = 0;
+    for seed in arguments.seed..arguments.seed + arguments.seeds {
+        let folder = arguments.folder.join(format!("seed-{seed}"));
+        fs::create_dir_all(&folder)?;
+        let setup = Setup { program: arguments.gateway.clone(), shim: Some(shim.clone()), folder };
+        let scenario = Scenario::draw(seed, arguments.gateways, arguments.seconds * 1000.0);
+        let report = play(scenario, &setup).await?;
+        print(&report, arguments);
+        broken += usize::from(!report.violations.is_empty());
+    }
+    println!("{broken} of {} seeds broke a rule", arguments.seeds);
+    Ok(broken)
+}
+
+fn print(report: &Report, arguments: &Arguments) {
+    let records = &report.records;
+    let mut endings: BTreeMap<String, usize> = BTreeMap::new();
+    for request in records.requests.values() {
+        let name = match (&request.ending, request.left_at) {
+            (_, Some(_)) => "left".to_string(),
+            (Some((Ending::Answer { status, .. }, _)), None) => status.to_string(),
+            (Some((Ending::Closed { .. }, _)), None) => "closed".to_string(),
+            (Some((Ending::Silence, _)), None) => "silence".to_string(),
+            (None, None) => "open".to_string(),
+        };
+        *endings.entry(name).or_default() += 1;
+    }
+    let mut rules: BTreeMap<_, usize> = BTreeMap::new();
+    for violation in &report.violations {
+        *rules.entry(violation.rule).or_default() += 1;
+    }
+    println!(
+        "seed {}: {} requests {endings:?}, {} attempts, rig at most {:.0} ms late, broken {rules:?}",
+        report.scenario.seed,
+        records.requests.len(),
+        records.attempts.len(),
+        records.rig_late,
+    );
+    if arguments.troubles || !report.violations.is_empty() {
+        println!(
+            "  mode {:?}, drain grace {:.0} ms",
+            report.scenario.site.mode, report.scenario.site.drain_grace
+        );
+        for note in &records.notes {
+            println!("  {:6.0} ms {}", note.at, note.text);
+        }
+    }
+    for violation in report.violations.iter().take(arguments.shown) {
+        println!("  {violation}");
+    }
+}
--- /dev/null
+++ b/fault-soak/src/scenario.rs
@@ -0,0 +1,376 @@
+//! What a run is like: the site's parameters and the troubles, all drawn from one seed.
+
+use crate::counter::Mood;
+use crate::discovery::Mode;
+use crate::ledger::{Effect, Millis};
+use crate::shim::Faults;
+use oorandom::Rand64;
+use serde_json::{json, Value};
+
+/// A class of requests.
+#[derive(Debug, Clone)]
+pub struct Class {
+    /// Its name.
+    pub name: &'static str,
+    /// How often a request may take effect.
+    pub effect: Effect,
+    /// How long a client waits at the most.
+    pub deadline: Millis,
+}
+
+/// A plan of customers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Plan {
+    /// A quota that nobody reaches.
+    Wide,
+    /// A quota that customers press against, held by the shared counter as there is no meter.
+    Quota,
+    /// A cap on attempts out at once.
+    Capped,
+    /// A hard ceiling.
+    Ceiling,
+}
+
+/// All plans, in the order of the settings.
+pub const PLANS: [Plan; 4] = [Plan::Wide, Plan::Quota, Plan::Capped, Plan::Ceiling];
+
+/// Figures of the ceiling: units a second, the store's size, and the slack.
+pub const CEILING_RATE: f64 = 12.0;
+/// The ceiling's store.
+pub const CEILING_STORE: f64 = 30.0;
+/// How far it may be overdrawn.
+pub const CEILING_SLACK: f64 = 3.0;
+
+impl Plan {
+    /// Its name.
+    pub fn name(self) -> &'static str {
+        match self {
+            Plan::Wide => "wide",
+            Plan::Quota => "quota",
+            Plan::Capped => "capped",
+            Plan::Ceiling => "ceiling",
+        }
+    }
+
+    fn settings(self) -> Value {
+        let (rate, store, open, ceiling) = match self {
+            Plan::Wide => (1000.0, 2000.0, 0, (0.0, 0.0, 0.0)),
+            Plan::Quota => (15.0, 30.0, 0, (0.0, 0.0, 0.0)),
+            Plan::Capped => (0.0, 0.0, 6, (0.0, 0.0, 0.0)),
+            Plan::Ceiling => (1000.0, 2000.0, 0, (CEILING_RATE, CEILING_STORE, CEILING_SLACK)),
+        };
+        json!({"name": self.name(), "unitsPerS": rate, "storeSize": store, "concurrency": open, "price": 1.0,
+               "excessWorth": 0.0, "overrunCost": if self == Plan::Quota { 1.0 } else { 0.0 },
+               "neverOverRate": ceiling.0, "capDepth": ceiling.1, "tolerance": ceiling.2})
+    }
+}
+
+/// The parameters of one site.
+#[derive(Debug, Clone)]
+pub struct Site {
+    /// Gateways.
+    pub gateways: usize,
+    /// Servers at the start.
+    pub servers: usize,
+    /// How long the load lasts.
+    pub span: Millis,
+    /// Who answers calls for the list.
+    pub mode: Mode,
+    /// Requests a second at each gateway.
+    pub rate: f64,
+    /// The classes.
+    pub classes: Vec<Class>,
+    /// How long servers drop repeats of a keyed request.
+    pub window: Millis,
+    /// Sends to a draining server must stop within this.
+    pub drain_grace: Millis,
+    /// Descriptors of a gateway.
+    pub descriptors: usize,
+    /// Whether a second attempt may be out beside the first.
+    pub may_duplicate: bool,
+    /// Whether attempts may be cancelled.
+    pub may_cancel: bool,
+    /// A server starts at this share of its capacity.
+    pub cold_from: f64,
+    /// It is warm after this.
+    pub cold_for: Millis,
+    /// It falls when it gets more than this multiple of what it can do ...
+    pub tip_multiple: f64,
+    /// ... in this time.
+    pub tip_after: Millis,
+}
+
+impl Site {
+    /// The settings as a gateway gets them.
+    pub fn settings(&self, ordinal: usize) -> Value {
+        let classes: Vec<Value> = self
+            .classes
+            .iter()
+            .map(|class| {
+                let semantics = match class.effect {
+                    Effect::Free => "free",
+                    Effect::Keyed => "guarded",
+                    Effect::Once => "single_shot",
+                };
+                json!({"name": class.name, "semantics": semantics, "group": "all", "dedupWindow": self.window,
+                       "worth": 1.0, "slo": class.deadline / 3.0, "deadline": class.deadline,
+                       "lateShare": 0.1, "stream": false})
+            })
+            .collect();
+        json!({
+            "areas": ["a"], "balancers": self.gateways, "ordinal": ordinal, "zone": 0, "tick": 4.0,
+            "registryMode": if self.mode == Mode::Pushed { "pushed" } else { "on_request" },
+            "bounds": {"cancel": self.may_cancel, "connIdle": 3000.0, "connectTimeout": 300.0, "maxAttempts": 3,
+                       "maxRetryAfter": 400.0, "mayDuplicate": self.may_duplicate, "retryAfter": true},
+            "rules": {"cold": self.cold_for, "coldFrom": self.cold_from, "fall": self.tip_after,
+                      "stopSendingWithin": self.drain_grace, "tipMultiple": self.tip_multiple},
+            "familyInfo": {"mostUnits": 1, "usePeriod": 0.0, "counter": true, "counterTimeout": 30.0},
+            "classes": classes, "plans": PLANS.map(Plan::settings),
+        })
+    }
+
+    /// Requests that a warm server handles in a second: the offered load fills part of the fleet.
+    pub fn capacity(&self) -> f64 {
+        const OFFERED_SHARE: f64 = 0.7;
+        self.rate * self.gateways as f64 / self.servers as f64 / OFFERED_SHARE
+    }
+
+    /// The longest deadline.
+    pub fn longest_deadline(&self) -> Millis {
+        self.classes.iter().map(|class| class.deadline).fold(0.0, f64::max)
+    }
+}
+
+/// Something that goes wrong.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Trouble {
+    /// Gateways are told to end, and start again.
+    Terminate(Vec<usize>),
+    /// Gateways are killed, and start again.
+    Kill(Vec<usize>),
+    /// Gateways are held up for a moment, again and again.
+    Hold(Vec<usize>),
+    /// A new configuration moves discovery; reading it may fail for a moment.
+    Reload {
+        /// Whether open fails at first.
+        unreadable: bool,
+    },
+    /// Servers drain, then go; new ones join.
+    Replace(usize),
+    /// Servers crash and come back cold.
+    Crash(usize),
+    /// Lines to servers go silent.
+    Cut(usize),
+    /// Servers hang, fail, reset, spoil, or close.
+    Misbehave(usize, Misdeed),
+    /// Lines to servers bring answers late and in pieces.
+    Trickle,
+    /// Agents fall silent.
+    DiscoveryDown,
+    /// Open watches fall silent.
+    WatchesSilent,
+    /// Open watches are reset.
+    WatchesReset,
+    /// Agents write whole, indented lists in pieces.
+    OddLists,
+    /// The counter misbehaves.
+    Counter(Mood),
+    /// The wall clock is stepped for all, milliseconds.
+    WallClock(i64),
+    /// System calls of some gateways fail.
+    SystemCalls(Vec<usize>, SystemCall),
+    /// Idle clients fill a gateway's descriptors.
+    IdleCrowd(usize),
+    /// Most clients leave early.
+    LeaveBurst,
+}
+
+/// What servers do wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Misdeed {
+    /// Take requests and never answer.
+    Hang,
+    /// Answer 500.
+    Error,
+    /// Turn requests away.
+    Full,
+    /// Reset connections.
+    Reset,
+    /// Spoil answers, send second ones, or leave out the length.
+    Spoil,
+    /// Close connections behind answers.
+    Close,
+    /// Are slow.
+    Slow,
+}
+
+/// Which system calls fail.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SystemCall {
+    /// accept4.
+    Accept,
+    /// connect and socket.
+    Connect,
+    /// recv, send and epoll_wait end with EINTR.
+    Interrupted,
+    /// recv and send move a few bytes.
+    Short,
+    /// Resets show as time-outs or unreachable hosts.
+    Broken,
+}
+
+impl SystemCall {
+    /// The chances for the shim.
+    pub fn faults(self) -> Faults {
+        let none = Faults::default();
+        match self {
+            SystemCall::Accept => Faults { accept_fails: 0.7, ..none },
+            SystemCall::Connect => Faults { connect_fails: 0.6, socket_fails: 0.2, ..none },
+            SystemCall::Interrupted => {
+                Faults { read_interrupted: 0.1, write_interrupted: 0.1, wait_interrupted: 0.1, ..none }
+            }
+            SystemCall::Short => Faults { read_short: 0.5, write_short: 0.5, ..none },
+            SystemCall::Broken => Faults { broken_is_timed_out: 1.0, ..none },
+        }
+    }
+}
+
+/// A trouble, when it begins and how long it lasts.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Event {
+    /// When it begins.
+    pub at: Millis,
+    /// How long it lasts, where that means something.
+    pub lasts: Millis,
+    /// What it is.
+    pub trouble: Trouble,
+}
+
+/// A site and its troubles.
+#[derive(Debug, Clone)]
+pub struct Scenario {
+    /// The seed.
+    pub seed: u64,
+    /// The site.
+    pub site: Site,
+    /// The troubles, in the order in which they begin.
+    pub events: Vec<Event>,
+}
+
+struct Dice(Rand64);
+
+impl Dice {
+    fn between(&mut self, low: f64, high: f64) -> f64 {
+        low + (high - low) * self.0.rand_float()
+    }
+    fn below(&mut self, bound: usize) -> usize {
+        self.0.rand_range(0..bound as u64) as usize
+    }
+    fn coin(&mut self) -> bool {
+        self.0.rand_float() < 0.5
+    }
+    fn some(&mut self, of: usize, part: f64) -> Vec<usize> {
+        let mut chosen: Vec<usize> = (0..of).filter(|_| self.0.rand_float() < part).collect();
+        if chosen.is_empty() {
+            chosen.push(self.below(of));
+        }
+        chosen
+    }
+}
+
+/// Of each seed, so many kinds of trouble are drawn for each second of load.
+const TROUBLES_A_SECOND: f64 = 0.8;
+/// The first of them comes no sooner.
+const QUIET_START: Millis = 1500.0;
+/// The last of them comes no later before the end of the load.
+const QUIET_END: Millis = 2000.0;
+
+impl Scenario {
+    /// Draws the scenario of a seed.
+    pub fn draw(seed: u64, gateways: usize, span: Millis) -> Scenario {
+        let mut dice = Dice(Rand64::new(u128::from(seed) ^ 0x5eed));
+        let deadline = |dice: &mut Dice| dice.between(900.0, 3000.0).round();
+        let classes = vec![
+            Class { name: "lookup", effect: Effect::Free, deadline: deadline(&mut dice) },
+            Class { name: "submit", effect: Effect::Keyed, deadline: deadline(&mut dice) },
+            Class { name: "charge", effect: Effect::Once, deadline: deadline(&mut dice) },
+        ];
+        let servers = 6 + dice.below(8);
+        let site = Site {
+            gateways,
+            servers,
+            span,
+            mode: if dice.0.rand_float() < 0.7 { Mode::Pushed } else { Mode::OnRequest },
+            rate: dice.between(20.0, 35.0),
+            classes,
+            window: dice.between(600.0, 4000.0),
+            drain_grace: dice.between(800.0, 2000.0),
+            descriptors: 160 + dice.below(300),
+            may_duplicate: dice.coin(),
+            may_cancel: dice.coin(),
+            cold_from: dice.between(0.08, 0.3),
+            cold_for: dice.between(4000.0, 12_000.0),
+            tip_multiple: dice.between(1.6, 2.5),
+            tip_after: dice.between(1000.0, 2000.0),
+        };
+        let count = (span / 1000.0 * TROUBLES_A_SECOND) as usize;
+        let mut events: Vec<Event> = (0..count)
+            .map(|_| Event {
+                at: dice.between(QUIET_START, (span - QUIET_END).max(QUIET_START + 1.0)),
+                lasts: dice.between(500.0, 4000.0),
+                trouble: trouble(&mut dice, &site),
+            })
+            .collect();
+        events.sort_by(|one, other| one.at.total_cmp(&other.at));
+        Scenario { seed, site, events }
+    }
+}
+
+fn trouble(dice: &mut Dice, site: &Site) -> Trouble {
+    let servers = 1 + dice.below(site.servers / 3);
+    match dice.below(20) {
+        0 | 1 => Trouble::Terminate(dice.some(site.gateways, 0.4)),
+        2 => Trouble::Kill(dice.some(site.gateways, 0.3)),
+        3 => Trouble::Hold(dice.some(site.gateways, 0.5)),
+        4 => Trouble::Reload { unreadable: dice.coin() },
+        5 | 6 => Trouble::Replace(servers),
+        7 => Trouble::Crash(servers),
+        8 => Trouble::Cut(servers),
+        9 | 10 => {
+            let misdeeds = [
+                Misdeed::Hang,
+                Misdeed::Error,
+                Misdeed::Full,
+                Misdeed::Reset,
+                Misdeed::Spoil,
+                Misdeed::Close,
+                Misdeed::Slow,
+            ];
+            Trouble::Misbehave(servers, misdeeds[dice.below(misdeeds.len())])
+        }
+        11 => Trouble::Trickle,
+        12 => match dice.below(4) {
+            0 => Trouble::DiscoveryDown,
+            1 => Trouble::WatchesSilent,
+            2 => Trouble::WatchesReset,
+            _ => Trouble::OddLists,
+        },
+        13 => {
+            let moods = [Mood::Busy, Mood::Silent, Mood::Spoilt, Mood::Down];
+            Trouble::Counter(moods[dice.below(moods.len())])
+        }
+        14 => Trouble::WallClock([-3_600_000, -4000, 4000, 3_600_000][dice.below(4)]),
+        15..=17 => {
+            let calls = [
+                SystemCall::Accept,
+                SystemCall::Connect,
+                SystemCall::Interrupted,
+                SystemCall::Short,
+                SystemCall::Broken,
+            ];
+            Trouble::SystemCalls(dice.some(site.gateways, 0.6), calls[dice.below(calls.len())])
+        }
+        18 => Trouble::IdleCrowd(dice.below(site.gateways)),
+        _ => Trouble::LeaveBurst,
+    }
+}
