--- /dev/null
+++ b/tests/front_door/clocks.rs
@@ -0,0 +1,51 @@
+//! The wall clock is stepped while the program runs.
+
+use crate::peers::*;
+use fault_soak::shim::Faults;
+use serde_json::{json, Value};
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+const HOUR: i64 = 3_600_000;
+
+fn unix_ms() -> i64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock").as_millis() as i64
+}
+
+/// Which part of 200 requests reaches a server that starts right behind a step of the wall clock, once it has
+/// run for so long; one that was there before gets the rest.
+fn part_of_a_server_started_after(step: i64, cold: Duration, runs_for: Duration) -> f64 {
+    let (old, new) = (Peer::start(), Peer::start());
+    let known = list(&[target("s-00000001", old.address, "ready")]);
+    let discovery = Discovery::start(known.clone());
+    let mut config = config(discovery.address, known);
+    config["settings"]["rules"]["cold"] = json!(cold.as_millis() as f64);
+    let faulty = Faulty::new();
+    let front = faulty.start(&config);
+    discovery.wait_for_watch();
+    faulty.control.set(Faults { wall_clock_offset: step, ..Faults::default() });
+    let mut started: Value = target("s-00000002", new.address, "ready");
+    started["boot_ms"] = json!(unix_ms() + step);
+    discovery.tell(json!([started]));
+    thread::sleep(runs_for);
+    let (old, new) = (answer_all(old), answer_all(new));
+    let mut client = front.client();
+    for _ in 0..200 {
+        assert_eq!(client.send(&get("")).read().status(), 200);
+    }
+    let (old, new) = (old.load(Ordering::Relaxed), new.load(Ordering::Relaxed));
+    f64::from(new) / f64::from(old + new)
+}
+
+#[test]
+fn a_server_that_starts_after_the_wall_clock_was_set_back_is_cold() {
+    let part = part_of_a_server_started_after(-HOUR, Duration::from_secs(60), Duration::ZERO);
+    assert!(part < 0.35, "a server at a quarter of its capacity got {part:.2} of the requests");
+}
+
+#[test]
+fn a_server_that_starts_after_the_wall_clock_was_set_forward_gets_warm() {
+    let part = part_of_a_server_started_after(HOUR, Duration::from_secs(1), Duration::from_secs(2));
+    assert!(part > 0.35, "a warm server got {part:.2} of the requests");
+}
--- a/tests/front_door/main.rs
+++ b/tests/front_door/main.rs
@@ -2,9 +2,11 @@
 
 mod backends;
 mod clients;
+mod clocks;
 mod counter;
 mod discovery;
 mod peers;
 mod process;
 mod quota;
 mod shutdown;
+mod system_calls;
--- a/tests/front_door/peers.rs
+++ b/tests/front_door/peers.rs
@@ -1,5 +1,6 @@
 //! Scripted peers on loopback sockets, and the built program in front of them.
 
+use fault_soak::shim::{self, Control};
 use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
@@ -8,6 +9,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, AtomicU8, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -265,9 +267,13 @@
         Front::start_with(config, Stdio::inherit())
     }
     pub fn start_with(config: &Value, errors: Stdio) -> Front {
-        let address = config["listen"].as_str().expect("an address").parse().expect("an address");
         let file = write_config(config);
         let child = spawn(&file, config, errors);
+        Front::listening(child, config, file)
+    }
+    /// Waits until a program that was started listens.
+    pub fn listening(child: Child, config: &Value, file: PathBuf) -> Front {
+        let address = config["listen"].as_str().expect("an address").parse().expect("an address");
         let until = Instant::now() + PATIENCE;
         while TcpStream::connect(address).is_err() {
             assert!(Instant::now() < until, "the front door does not listen");
@@ -308,20 +314,75 @@
 /// Writes a configuration to a file of its own.
 pub fn write_config(config: &Value) -> PathBuf {
     static COUNT: AtomicU8 = AtomicU8::new(0);
-    let name = format!("config-{}-{}.json", std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
+    let name =
+        format!("gateway-config-{}-{}.json", std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, config.to_string()).expect("the configuration is written");
     path
 }
 
 pub fn spawn(file: &Path, config: &Value, errors: Stdio) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_brassport"))
+    command(file, config).stderr(errors).spawn().expect("the program starts")
+}
+
+fn command(file: &Path, config: &Value) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_brassport"));
+    command
         .env("BALANCER_CONFIG", file)
         .env("BALANCER_LISTEN", config["listen"].as_str().expect("an address"))
-        .env("BALANCER_DISCOVERY", config["discovery"].as_str().expect("an address"))
-        .stderr(errors)
-        .spawn()
-        .expect("the program starts")
+        .env("BALANCER_DISCOVERY", config["discovery"].as_str().expect("an address"));
+    command
+}
+
+/// Makes the program's system calls fail.
+pub struct Faulty {
+    pub control: Control,
+    library: PathBuf,
+}
+
+impl Faulty {
+    pub fn new() -> Faulty {
+        static LIBRARY: OnceLock<PathBuf> = OnceLock::new();
+        static COUNT: AtomicU8 = AtomicU8::new(0);
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("shim-{}", std::process::id()));
+        let library = LIBRARY.get_or_init(|| {
+            std::fs::create_dir_all(&folder).expect("a folder");
+            shim::build(&folder).expect("the library is built")
+        });
+        let control = folder.join(format!("control-{}", COUNT.fetch_add(1, Ordering::Relaxed)));
+        Faulty { control: Control::create(control).expect("a control file"), library: library.clone() }
+    }
+    /// Starts the program under this, without waiting for anything.
+    pub fn spawn(&self, file: &Path, config: &Value) -> Child {
+        command(file, config)
+            .env("LD_PRELOAD", &self.library)
+            .env("FAULT_SHIM_CONTROL", &self.control.path)
+            .spawn()
+            .expect("the program starts")
+    }
+    /// Starts the program and waits until it listens.
+    pub fn start(&self, config: &Value) -> Front {
+        let file = write_config(config);
+        let child = self.spawn(&file, config);
+        Front::listening(child, config, file)
+    }
+}
+
+/// Answers every request that reaches the peer at once, and counts them.
+pub fn answer_all(peer: Peer) -> Arc<AtomicU32> {
+    let count = Arc::new(AtomicU32::new(0));
+    let counted = count.clone();
+    thread::spawn(move || {
+        while let Ok(mut exchange) = peer.exchanges.recv() {
+            counted.fetch_add(1, Ordering::Relaxed);
+            let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nserved";
+            // Whoever asked may be gone.
+            if exchange.stream.write_all(answer).is_ok() {
+                read_on(exchange.stream, exchange.next);
+            }
+        }
+    });
+    count
 }
 
 pub struct Client {
