Make an interrupted read or write again: it is no end of a connection

Cause: Socket's poll_read, read_some, poll_write and poll_write_vectored tried again only on WouldBlock, so that EINTR ended the connection: of a client it was taken for a leave (clients::gone), of a server for a reset. The counter's line used the bare TcpStream, which passes EINTR on as well. Ruled out: the server's side (its answer was written whole) and the shutdown (the gateway had no signal). Change: one test, 'passes', for both errors; the counter's line is a Socket.

--- a/src/bin/brassport/counter.rs
+++ b/src/bin/brassport/counter.rs
@@ -1,6 +1,7 @@
 //! The counter: one connection, on which calls go out one behind another and answers come in their order.
 //! Every call ends, in the order in which they were made and within the time that the settings give.
 
+use crate::socket::Socket;
 use springusher::{CountName, Counted, Millis};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -60,7 +61,7 @@
 pub struct Line {
     queue: UnboundedReceiver<Call>,
     patience: Duration,
-    link: Option<TcpStream>,
+    link: Option<Socket>,
     /// What has come of an answer so far.
     read: Vec<u8>,
     waiting: VecDeque<Waiting>,
@@ -128,7 +129,7 @@
             if link.set_nodelay(true).is_err() {
                 return false;
             }
-            self.link = Some(link);
+            self.link = Some(Socket::new(link));
         }
         true
     }
@@ -177,7 +178,7 @@
 }
 
 /// Reads what has come; false at the end of the connection. Without one it waits for ever.
-async fn receive(link: &mut Option<TcpStream>, read: &mut Vec<u8>) -> bool {
+async fn receive(link: &mut Option<Socket>, read: &mut Vec<u8>) -> bool {
     match link {
         Some(link) => matches!(link.read_buf(read).await, Ok(count) if count > 0),
         None => std::future::pending().await,
@@ -261,7 +262,7 @@
         let (counter, mut line) = Counter::new(Duration::from_millis(30));
         // With the connection up beforehand, the only thing that the made-up clock can cut short is the call.
         let at = listener.local_addr().expect("an address");
-        line.link = Some(TcpStream::connect(at).await.expect("a connection"));
+        line.link = Some(Socket::new(TcpStream::connect(at).await.expect("a connection")));
         let (_address, seen) = watch::channel(Some(at));
         counter.add(7, 1.0, 4000.0);
         let (ends, mut got) = unbounded_channel();
--- a/src/bin/brassport/socket.rs
+++ b/src/bin/brassport/socket.rs
@@ -11,6 +11,11 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// Whether a call is to be made again: the socket is not ready, or a signal came in between.
+fn passes(error: &io::Error) -> bool {
+    matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
+}
+
 #[derive(Debug, Clone)]
 pub struct Socket(Rc<TcpStream>);
 
@@ -29,7 +34,7 @@
             let read = self.0.try_read(&mut bytes[before..]);
             bytes.truncate(before + *read.as_ref().unwrap_or(&0));
             match read {
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(error) if passes(&error) => {}
                 read => return read,
             }
         }
@@ -62,7 +67,7 @@
                     buffer.advance(count);
                     return Poll::Ready(Ok(()));
                 }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(error) if passes(&error) => {}
                 Err(error) => return Poll::Ready(Err(error)),
             }
         }
@@ -74,7 +79,7 @@
         loop {
             ready!(self.0.poll_write_ready(context))?;
             match self.0.try_write(bytes) {
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(error) if passes(&error) => {}
                 written => return Poll::Ready(written),
             }
         }
@@ -87,7 +92,7 @@
         loop {
             ready!(self.0.poll_write_ready(context))?;
             match self.0.try_write_vectored(bytes) {
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(error) if passes(&error) => {}
                 written => return Poll::Ready(written),
             }
         }
