Follow steps of the wall clock: starts of servers and names on the counter

Cause: door.rs read the wall clock once, at the start, and took boot_ms for a moment of that clock; counts.rs put the same clock into the names on the counter, so that gateways started before and after a step kept different gauges and buckets. Ruled out: the module's own ramp (cold.rs passes with launched on its clock). Change: a clock module keeps the steps it has seen and places boot_ms on the monotonic clock, the later moment where two fit; the module hears of steps (Event::WallClock) and names the counter's numbers by the shared clock. A process that starts behind a step cannot know of it: open.

--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -2,6 +2,7 @@
 //! requests in hand, hands events in, and carries actions out in order. It decides nothing.
 
 use crate::backends::{Backends, End, Message};
+use crate::clock::Clock;
 use crate::counter::Counter;
 use crate::discovery::{List, State, Target};
 use crate::log;
@@ -16,7 +17,6 @@
 use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, Notify};
 use tokio::time::{sleep_until, Instant};
 
@@ -28,28 +28,6 @@
     Failed,
 }
 
-/// The module's clock: Unix time in milliseconds, so that all front doors have the same, never running
-/// backwards.
-struct Clock {
-    start: Instant,
-    /// Unix time at the start. It is read once, so that a moment told twice is the same moment both times.
-    start_unix: Millis,
-}
-
-impl Clock {
-    fn new() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), start_unix: unix.as_secs_f64() * 1000.0 }
-    }
-    fn now(&self) -> Millis {
-        self.start_unix + self.start.elapsed().as_secs_f64() * 1000.0
-    }
-    fn instant(&self, at: Millis) -> Instant {
-        let since = Duration::try_from_secs_f64((at - self.start_unix) / 1000.0).unwrap_or_default();
-        self.start.checked_add(since).unwrap_or_else(Instant::now)
-    }
-}
-
 /// A request that awaits its answer or the ends of its attempts.
 struct InHand {
     /// Its client's name for it.
@@ -70,8 +48,15 @@
     names: HashSet<String>,
     last: RequestId,
     alarms: BinaryHeap<Reverse<(Instant, u64)>>,
-    /// Names of the backends by the number that stands for each.
-    uids: HashMap<ServerId, String>,
+    /// The backends by the number that stands for each.
+    known: HashMap<ServerId, Known>,
+}
+
+/// A backend on the list.
+struct Known {
+    uid: String,
+    /// Its latest start as the list tells it, and on the module's clock: told twice, it is the same moment.
+    boot: Option<(f64, Millis)>,
 }
 
 pub struct Door {
@@ -98,7 +83,7 @@
             names: HashSet::new(),
             last: 0,
             alarms: BinaryHeap::new(),
-            uids: HashMap::new(),
+            known: HashMap::new(),
         };
         let (inner, sooner) = (RefCell::new(inner), Notify::new());
         Ok(Rc::new(Door { clock, zones, backends, counter, inner, sooner }))
@@ -140,6 +125,7 @@
 
     /// Takes in the list of backends or a change to it, for itself and for the module.
     pub fn servers(self: &Rc<Self>, kind: ListKind, list: List) {
+        self.notice_step();
         let mut entries = Vec::with_capacity(list.targets.len());
         for target in &list.targets {
             let id = self.id(&target.uid);
@@ -159,7 +145,7 @@
         // Guards the memory: names of the gone would pile up, as each new backend has a new one.
         let gone = |id| entries.iter().any(|entry| entry.id == id && entry.lifecycle == Lifecycle::Gone);
         let listed = |id| kind == ListKind::Delta || entries.iter().any(|entry| entry.id == id);
-        self.inner.borrow_mut().uids.retain(|id, _| listed(*id) && !gone(*id));
+        self.inner.borrow_mut().known.retain(|id, _| listed(*id) && !gone(*id));
         self.handle(Event::Servers { kind, entries });
     }
 
@@ -175,7 +161,7 @@
                 State::Ready | State::Draining | State::Unknown => Lifecycle::Draining,
                 State::Gone => Lifecycle::Gone,
             },
-            launched: (target.boot_ms > 0.0).then_some(target.boot_ms),
+            launched: self.launched(id, target.boot_ms),
         }
     }
 
@@ -188,14 +174,27 @@
             uid.bytes().fold(0x811c_9dc5, mix)
         };
         let mut id = digits.and_then(|digits| u32::from_str_radix(digits, 16).ok()).unwrap_or_else(hash);
-        let uids = &mut self.inner.borrow_mut().uids;
-        while uids.get(&id).is_some_and(|other| other != uid) {
+        let known = &mut self.inner.borrow_mut().known;
+        while known.get(&id).is_some_and(|other| other.uid != uid) {
             id = id.wrapping_add(1);
         }
-        uids.entry(id).or_insert_with(|| uid.to_string());
+        known.entry(id).or_insert_with(|| Known { uid: uid.to_string(), boot: None });
         id
     }
 
+    /// When a backend started, on the module's clock, if that was not long ago.
+    fn launched(&self, id: ServerId, boot_ms: f64) -> Option<Millis> {
+        if boot_ms <= 0.0 || !boot_ms.is_finite() {
+            return None;
+        }
+        let mut inner = self.inner.borrow_mut();
+        let backend = inner.known.get_mut(&id)?;
+        let held = backend.boot.filter(|(told, _)| *told == boot_ms);
+        let boot = held.unwrap_or_else(|| (boot_ms, self.clock.time_of(boot_ms)));
+        backend.boot = Some(boot);
+        Some(boot.1)
+    }
+
     /// Takes in the end of a call of the counter.
     pub fn counted(self: &Rc<Self>, name: CountName, counted: Counted) {
         self.handle(Event::Counted { name, counted });
@@ -222,6 +221,7 @@
     }
 
     fn handle(self: &Rc<Self>, event: Event) {
+        self.notice_step();
         let inner = &mut *self.inner.borrow_mut();
         let mut actions = Vec::new();
         inner.gateway.handle(self.clock.now(), event, &mut actions);
@@ -230,6 +230,14 @@
         }
     }
 
+    /// Tells the module if the wall clock was stepped.
+    fn notice_step(&self) {
+        let Some(ahead) = self.clock.step() else { return };
+        log::line(format!("the wall clock was stepped: {ahead:.0} ms ahead of its course since the start"));
+        let event = Event::WallClock { ahead };
+        self.inner.borrow_mut().gateway.handle(self.clock.now(), event, &mut Vec::new());
+    }
+
     /// What an action names and is no longer in hand was answered meanwhile: it is passed over.
     fn carry_out(self: &Rc<Self>, inner: &mut Inner, action: Action) {
         match action {
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -4,6 +4,7 @@
 mod backends;
 mod callers;
 mod clients;
+mod clock;
 mod config;
 mod counter;
 mod discovery;
--- a/src/control.rs
+++ b/src/control.rs
@@ -240,6 +240,7 @@
             },
             Event::Servers { kind, entries } => self.roster(kind, entries, actions),
             Event::Counted { name, counted } => self.counted(name, counted, actions),
+            Event::WallClock { ahead } => self.counts.set_clock(ahead),
         }
         self.counts.hand_over(actions);
     }
--- a/src/counts.rs
+++ b/src/counts.rs
@@ -42,12 +42,25 @@
     held: BTreeMap<(RequestId, CountName), f64>,
     /// Chance that the counter is asked.
     asked: f64,
+    /// How far the clock that all gateways share is ahead of the one that times are given in.
+    ahead: Millis,
 }
 
 impl Counts {
     /// `longest` is the longest time that a request may take.
     pub fn new(longest: Millis) -> Counts {
-        Counts { stretch: longest.max(1.0), calls: Calls::new(), held: BTreeMap::new(), asked: 1.0 }
+        Counts {
+            stretch: longest.max(1.0),
+            calls: Calls::new(),
+            held: BTreeMap::new(),
+            asked: 1.0,
+            ahead: 0.0,
+        }
+    }
+
+    /// Notes how far the clock that all gateways share is ahead of the one that times are given in.
+    pub fn set_clock(&mut self, ahead: Millis) {
+        self.ahead = ahead;
     }
 
     /// Whether the counter is asked, by a coin between 0 and 1.
@@ -57,13 +70,13 @@
 
     /// Asks for a place.
     pub fn enter(&mut self, now: Millis, request: &Request) {
-        let (name, _) = number(now / self.stretch, request.customer);
+        let (name, _) = number((now + self.ahead) / self.stretch, request.customer);
         self.calls.make(name & !BUCKET, 1.0, 2.0 * self.stretch, Some((*request, 1.0)));
     }
 
     /// Draws a request's units from its customer's bucket, and those of others that do not ask.
     pub fn draw(&mut self, now: Millis, request: &Request, plan: &Plan) {
-        let (name, _) = number(now / fill(plan), request.customer);
+        let (name, _) = number((now + self.ahead) / fill(plan), request.customer);
         let units = request.units / self.asked;
         self.calls.make(name | BUCKET, units, LIFE, Some((*request, units)));
     }
@@ -101,7 +114,7 @@
             return Some((request.id, Told::Places(total)));
         }
         let plan = &plans[request.plan];
-        let seconds = number(now / fill(plan), request.customer).1 * fill(plan) / 1000.0;
+        let seconds = number((now + self.ahead) / fill(plan), request.customer).1 * fill(plan) / 1000.0;
         let holds = LEFT_OVER * plan.burst + plan.rate * seconds;
         Some((request.id, Told::Bucket(total.map(|total| total <= holds))))
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -117,7 +117,8 @@
     pub tick: Millis,
     /// Whether the server list comes only to gateways that ask for it.
     pub list_on_request: bool,
-    /// Whether there is a counter. Where there is, the clock is one that all gateways share.
+    /// Whether there is a counter. Where there is, the clock and what [`Event::WallClock`] tells of it add up to
+    /// one that all gateways share.
     pub counter: bool,
 }
 
@@ -358,6 +359,11 @@
     ClientGone(RequestId),
     /// A timer that this gateway set.
     Timer(u64),
+    /// The wall clock, which all gateways share, was stepped. No action comes of it.
+    WallClock {
+        /// How far it is ahead of the host's clock from now on; 0 until the first such event.
+        ahead: Millis,
+    },
     /// A call of the counter ended; for each name they do in the order in which they were made.
     Counted {
         /// The number's name.
--- a/tests/places.rs
+++ b/tests/places.rs
@@ -160,3 +160,18 @@
     }
     assert_eq!(world.calls, 0);
 }
+
+#[test]
+fn gateways_that_started_before_and_after_a_step_of_the_wall_clock_share_a_cap() {
+    const STEP: Millis = 3_600_000.0;
+    let mut world = World::new(20);
+    for (n, host) in world.hosts.iter_mut().enumerate() {
+        if n % 2 == 0 {
+            host.event(Event::WallClock { ahead: STEP });
+        } else {
+            // Its clock began behind the step.
+            host.now += STEP;
+        }
+    }
+    assert_eq!(world.ask_all(1).len(), CAP);
+}
