--- a/tests/front_door/clients.rs
+++ b/tests/front_door/clients.rs
@@ -381,3 +381,36 @@
     assert_eq!(client.read().status(), 431);
     client.expect_close();
 }
+
+#[test]
+fn headers_that_say_what_is_asked_cannot_be_named_as_ones_of_the_connection_alone() {
+    let backend = Peer::start();
+    let front = Front::before(&[backend.address]);
+    for name in ["X-Request-Id", "idempotency-key", "X-Deadline"] {
+        let mut client = front.client();
+        let request = get("").replace("\r\n\r\n", &format!("\r\nConnection: keep-alive, {name}\r\n\r\n"));
+        assert_eq!(client.send(&request).read().status(), 400, "{name}");
+    }
+    assert!(backend.exchanges.try_recv().is_err(), "nothing reaches a backend");
+}
+
+#[test]
+fn a_pipelined_request_has_the_time_left_that_remains_since_it_came() {
+    let backend = Peer::start();
+    let front = Front::before(&[backend.address]);
+    let mut client = front.client();
+    let hurried = get("/second").replace("4000m", "900m");
+    client.send(&format!("{}{}{hurried}", get("/first"), get("/second")));
+    let first = backend.next();
+    thread::sleep(Duration::from_millis(500));
+    first.ok("first");
+    let second = backend.next();
+    let told = second.request.header("x-deadline").trim_end_matches('u').parse::<f64>().expect("a number");
+    assert!(told <= 3_550_000.0, "told {told} us though 0.5 s of 4 s are over");
+    thread::sleep(Duration::from_millis(600));
+    second.ok("second");
+    for status in [200, 200, 429] {
+        assert_eq!(client.read().status(), status, "the last one's time is over before its turn comes");
+    }
+    assert!(backend.exchanges.try_recv().is_err(), "nothing is sent without time left");
+}
--- a/tests/front_door/shutdown.rs
+++ b/tests/front_door/shutdown.rs
@@ -167,3 +167,24 @@
     assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
     assert!(front.child.wait().expect("it ends").success());
 }
+
+#[test]
+fn what_was_pipelined_when_the_signal_came_is_answered() {
+    let backend = Peer::start();
+    let mut front = Front::before(&[backend.address]);
+    let mut client = front.client();
+    client.send(&format!("{}{}{}", get("/first"), post("second"), get("/third")));
+    let first = backend.next();
+    front.terminate();
+    wait_until_leaving(&front);
+    first.ok("first");
+    for body in ["second", "third"] {
+        let exchange = backend.next();
+        exchange.ok(body);
+    }
+    for body in ["first", "second", "third"] {
+        let answer = client.read();
+        assert_eq!((answer.status(), String::from_utf8(answer.body).expect("text")), (200, body.to_string()));
+    }
+    assert!(front.child.wait().expect("it ends").success());
+}
