Refuse a request whose Connection header names what it asks with

Cause: pass_on() takes out each header that Connection names, X-Request-Id, Idempotency-Key and Host among them: the server answers 404, which counted as its failure (three in a row from one client eject any server), and a keyed request that is repeated without its key runs twice. Change: check() answers 400 if Connection names a header of the request's own.

--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -279,14 +279,15 @@
     response
 }
 
+/// The names that a message's Connection headers list.
+fn connection_options(headers: &HeaderMap) -> impl Iterator<Item = &str> {
+    let values = headers.get_all(header::CONNECTION).into_iter();
+    values.filter_map(|value| value.to_str().ok()).flat_map(|names| names.split(',').map(str::trim))
+}
+
 /// What of a message's headers goes on to the other side.
 fn pass_on(mut headers: HeaderMap) -> HeaderMap {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|names| names.split(',').filter_map(|name| name.trim().parse().ok()))
-        .collect();
+    let named: Vec<HeaderName> = connection_options(&headers).filter_map(|name| name.parse().ok()).collect();
     for name in named {
         headers.remove(name);
     }
@@ -310,6 +311,12 @@
     if OURS.iter().any(|name| head.headers.get_all(*name).iter().nth(1).is_some()) {
         return Err("a header stands there twice");
     }
+    // Guards against a request that loses its id or its key on the way: what Connection names is passed on to
+    // nobody, and a repeat without its key would run again.
+    let ours = |name: &str| OURS.iter().chain(&["host"]).any(|ours| name.eq_ignore_ascii_case(ours));
+    if connection_options(&head.headers).any(ours) {
+        return Err("Connection names a header of the request");
+    }
     let field = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok()).map(str::trim);
     let id = field("x-request-id").filter(|id| (1..=ID_LIMIT).contains(&id.len()));
     let id = id.filter(|id| id.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte)));
