--- a/src/bin/brassport/client_stream.rs
+++ b/src/bin/brassport/client_stream.rs
@@ -341,7 +341,7 @@
             .write_all(b"POST /a HTTP/1.1\r\n\r\nbodyGET /b HTTP/1.1\r\n\r\nGET")
             .await
             .expect("it is sent");
-        let mut read = async || {
+        let read = async || {
             let mut bytes = [0; 100];
             let mut buffer = ReadBuf::new(&mut bytes);
             let poll = std::future::poll_fn(|context| connection.poll_input(context, &mut buffer));
--- a/tests/front_door/system_calls.rs
+++ b/tests/front_door/system_calls.rs
@@ -2,6 +2,9 @@
 
 use crate::peers::*;
 use fault_soak::shim::Faults;
+use serde_json::json;
+use std::thread;
+use std::time::Duration;
 
 #[test]
 fn interrupted_reads_and_writes_lose_no_request() {
@@ -18,3 +21,61 @@
         }
     }
 }
+
+/// All accepts of the program fail for this long, then none.
+fn stall_accepts(faulty: &Faulty, span: Duration) {
+    faulty.control.set(Faults { accept_fails: 1.0, ..Faults::default() });
+    thread::sleep(span);
+    faulty.control.set(Faults::default());
+}
+
+#[test]
+fn a_request_that_waited_to_be_accepted_has_less_time_left() {
+    let backend = Peer::start();
+    let faulty = Faulty::new();
+    let front = faulty.start(&config(closed_port(), list(&[target("s-00000001", backend.address, "ready")])));
+    faulty.control.set(Faults { accept_fails: 1.0, ..Faults::default() });
+    let mut client = front.client();
+    client.send(&post("waits"));
+    stall_accepts(&faulty, Duration::from_millis(700));
+    let exchange = backend.next();
+    let told = exchange.request.header("x-deadline").trim_end_matches('u').parse::<f64>().expect("a number");
+    assert!(told <= 3_450_000.0, "told {told} us though 0.7 s of 4 s are over");
+    exchange.ok("served");
+    assert_eq!(client.read().status(), 200);
+}
+
+#[test]
+fn who_waits_to_be_accepted_at_a_shutdown_is_answered() {
+    let backend = Peer::start();
+    let faulty = Faulty::new();
+    let config = config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]));
+    let mut front = faulty.start(&config);
+    let _served = answer_all(backend);
+    front.terminate();
+    let mut client = front.client();
+    // All that was open is closed by the time at which accepts work again.
+    thread::spawn(move || stall_accepts(&faulty, Duration::from_millis(1500)));
+    thread::sleep(Duration::from_millis(100));
+    let mut late = front.client();
+    late.send(&post("late"));
+    assert_eq!(client.send(&post("early")).read().status(), 200);
+    assert_eq!(late.read().status(), 200);
+    assert!(front.child.wait().expect("it ends").success());
+}
+
+#[test]
+fn a_new_configuration_that_cannot_be_read_at_first_is_read_later() {
+    let (backend, first, second) = (Peer::start(), Peer::start(), Peer::start());
+    let mut config = config(first.address, list(&[target("s-00000001", backend.address, "ready")]));
+    let faulty = Faulty::new();
+    let front = faulty.start(&config);
+    let _call = first.next();
+    config["discovery"] = json!(second.address.to_string());
+    std::fs::write(&front.file, config.to_string()).expect("the file is replaced");
+    faulty.control.set(Faults { open_fails: 1.0, ..Faults::default() });
+    front.signal("-HUP");
+    thread::sleep(Duration::from_millis(500));
+    faulty.control.set(Faults::default());
+    second.next();
+}
