Know since when connections wait to be accepted, and accept again at once

Ruled out: the trace shows the request taken in and sent within 0.5 ms of its accept. Change: acceptor.rs owns the listening socket; it tries again at once where one connection or a signal failed, after 1 to 16 ms where the system is out of something, knows since when the queue could not be emptied (also for want of descriptors), and hands that on as the first request's arrival; a shutdown does not end while it is stalled.

--- a/src/bin/brassport/client_stream.rs
+++ b/src/bin/brassport/client_stream.rs
@@ -71,6 +71,8 @@
     turn: Turn,
     /// When the last byte that was handed on had been read.
     arrived: Instant,
+    /// The moment that stands for the first read's, where the connection had to wait to be accepted.
+    waited_since: Option<Instant>,
     ended: bool,
     /// The server, if it waits for its turn.
     reader: Option<Waker>,
@@ -78,7 +80,8 @@
 
 impl Input {
     fn take_in(&mut self, count: usize) {
-        self.read_at.push_back((count, Instant::now()));
+        let at = self.waited_since.take().unwrap_or_else(Instant::now);
+        self.read_at.push_back((count, at));
     }
 
     /// Hands on what the present turn allows; false if it allows nothing.
@@ -132,8 +135,10 @@
 }
 
 impl Connection {
-    pub fn new(socket: Socket) -> Rc<Connection> {
+    /// One that was accepted now. If it had to wait, what comes first may have been there since `waited_since`.
+    pub fn new(socket: Socket, waited_since: Option<Instant>) -> Rc<Connection> {
         let input = Input {
+            waited_since,
             ahead: Vec::new(),
             read_at: VecDeque::new(),
             turn: Turn::Head(HeadEnd::default()),
@@ -336,7 +341,7 @@
             .await
             .expect("it connects");
         let (stream, _) = listener.accept().await.expect("it is accepted");
-        let connection = Connection::new(Socket::new(stream));
+        let connection = Connection::new(Socket::new(stream), None);
         client
             .write_all(b"POST /a HTTP/1.1\r\n\r\nbodyGET /b HTTP/1.1\r\n\r\nGET")
             .await
--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -1,5 +1,6 @@
 //! The clients' side: accepts connections, reads requests, checks them and writes the answers.
 
+use crate::acceptor::{Accepted, Acceptor};
 use crate::backends::{Backends, Message, BODY_LIMIT};
 use crate::callers::{Caller, Callers, Stage};
 use crate::client_stream::{ClientStream, Connection};
@@ -17,14 +18,13 @@
 use percent_encoding::percent_decode_str;
 use springusher::{Effect, Settings};
 use std::convert::Infallible;
-use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
+use tokio::net::TcpListener;
+use tokio::sync::{watch, Semaphore};
 use tokio::task::JoinSet;
-use tokio::time::{interval, sleep, timeout, timeout_at, Instant, MissedTickBehavior};
+use tokio::time::{interval, timeout, timeout_at, Instant, MissedTickBehavior};
 
 /// A client's time runs from when it sent the request to when it has the whole answer: so much is kept back
 /// for the way here and back.
@@ -41,8 +41,6 @@
 const SWEEP: Duration = Duration::from_millis(100);
 /// How long the rest of an answer may take on a connection that is to close.
 const LAST_ANSWER: Duration = Duration::from_secs(2);
-/// After a failed accept.
-const BACK_OFF: Duration = Duration::from_millis(20);
 /// Customers are numbers below this.
 const CUSTOMERS: u64 = 1 << 33;
 /// Most bytes of a request's id.
@@ -94,6 +92,7 @@
     let reserve = RESERVE.min(descriptors.available_permits() / RESERVE_PART);
     let few = descriptors.available_permits() / FEW_PART;
     let callers = Rc::new(Callers::default());
+    let acceptor = Acceptor::new(listener, descriptors.clone());
     // Guards against connections that nobody waits on and that hold all descriptors. Those that a client
     // most likely has no more use for go first.
     let spare = |least: usize| {
@@ -109,28 +108,18 @@
     let mut sweeps = interval(SWEEP);
     sweeps.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        // The next connection once there is a descriptor for it; until then it waits in the backlog.
-        let next = async {
-            spare(1);
-            let descriptor = descriptors.clone().acquire_owned().await.map_err(io::Error::other)?;
-            let (stream, _) = listener.accept().await?;
-            Ok::<_, io::Error>((stream, descriptor))
-        };
+        spare(1);
         tokio::select! {
             Some(_) = connections.join_next() => {}
-            next = next => match next {
-                Ok((stream, descriptor)) => {
-                    empty_before = false;
-                    let crowded = !spare(reserve);
-                    let caller = callers.enter();
-                    connections.spawn_local(connection(stream, descriptor, desk.clone(), crowded, caller));
-                }
-                // Guards against a spin where the system is out of descriptors or the like.
-                Err(_) => sleep(BACK_OFF).await,
-            },
+            accepted = acceptor.accept() => {
+                empty_before = false;
+                let crowded = !spare(reserve);
+                let caller = callers.enter();
+                connections.spawn_local(connection(accepted, desk.clone(), crowded, caller));
+            }
             _ = sweeps.tick() => {
                 let closing = *desk.phase.borrow() >= Phase::Closing;
-                let empty = closing && connections.is_empty();
+                let empty = closing && connections.is_empty() && !acceptor.is_stalled();
                 // What stood in the backlog at one look has been accepted by the next.
                 if empty && empty_before {
                     return;
@@ -143,16 +132,13 @@
 }
 
 /// Serves one client's connection to its end. One that came while all others were busy gets refusals.
-async fn connection(
-    stream: TcpStream,
-    _descriptor: OwnedSemaphorePermit,
-    desk: Rc<Desk>,
-    crowded: bool,
-    caller: Caller,
-) {
+async fn connection(accepted: Accepted, desk: Rc<Desk>, crowded: bool, caller: Caller) {
+    let Accepted { stream, descriptor: _descriptor, waited_since } = accepted;
     let _ = stream.set_nodelay(true);
     let caller = Rc::new(caller);
-    let client = Connection::new(Socket::new(stream));
+    let socket = Socket::new(stream);
+    let waited_since = waited_since.filter(|_| !socket.is_quiet());
+    let client = Connection::new(socket, waited_since);
     let wire = ClientStream::new(client.clone(), caller.clone());
     let service = service_fn(|request: Request<Incoming>| {
         caller.stage(Stage::Open);
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -1,6 +1,7 @@
 //! The front door: one program on real sockets round the decision module of the crate `springusher`.
 #![forbid(unsafe_code)]
 
+mod acceptor;
 mod backends;
 mod callers;
 mod client_stream;
