--- a/tests/front_door/system_calls.rs
+++ b/tests/front_door/system_calls.rs
@@ -79,3 +79,39 @@
     faulty.control.set(Faults::default());
     second.next();
 }
+
+#[test]
+fn a_start_bears_calls_that_fail_for_a_moment() {
+    let backend = Peer::start();
+    let config = config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]));
+    let faulty = Faulty::new();
+    faulty.control.set(Faults { open_fails: 1.0, socket_fails: 1.0, ..Faults::default() });
+    let file = write_config(&config);
+    let child = faulty.spawn(&file, &config);
+    thread::sleep(Duration::from_millis(300));
+    faulty.control.set(Faults { socket_fails: 1.0, ..Faults::default() });
+    thread::sleep(Duration::from_millis(700));
+    faulty.control.set(Faults::default());
+    let front = Front::listening(child, &config, file);
+    let mut client = front.client();
+    client.send(&get(""));
+    backend.next().ok("served");
+    assert_eq!(client.read().status(), 200);
+}
+
+#[test]
+fn a_connection_that_this_machine_cannot_make_for_a_moment_is_no_servers_fault() {
+    let backend = Peer::start();
+    let config = config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]));
+    let faulty = Faulty::new();
+    let front = faulty.start(&config);
+    let mut client = front.client();
+    faulty.control.set(Faults { connect_fails: 0.7, socket_fails: 0.7, ..Faults::default() });
+    client.send(&post("once"));
+    thread::sleep(Duration::from_millis(100));
+    faulty.control.set(Faults { connect_fails: 1.0, ..Faults::default() });
+    thread::sleep(Duration::from_millis(100));
+    faulty.control.set(Faults::default());
+    let _served = answer_all(backend);
+    assert_eq!(client.read().status(), 200);
+}
