Make the calls of a start and of a reload again where they fail for a moment

Seen: two failing tests. With open failing (EIO, ENFILE) at SIGHUP the log said 'not reloaded: cannot read ...' and nothing followed: the front door stayed with a discovery whose address closed 1.5 s later, for good, so that every drain after that would break the rule. Cause: main.rs made each of these calls once. Change: retry.rs tells which failures may pass; the configuration, the runtime and the listener are tried for up to 20 s at a start (30 s are allowed), and reload.rs reads a file that cannot be read until it can or a new signal comes, also during a shutdown. A file that makes no sense changes nothing, as before.

--- a/src/bin/brassport/config.rs
+++ b/src/bin/brassport/config.rs
@@ -5,7 +5,7 @@
 use springusher::{Class, Effect, Plan, Scope, Settings};
 use std::net::SocketAddr;
 use std::time::Duration;
-use std::{env, fs};
+use std::{env, fmt, fs, io};
 
 /// How long a call of the counter may take where the settings do not say, and the longest that they may say:
 /// a request waits for it. Milliseconds.
@@ -167,14 +167,42 @@
     File,
 }
 
+/// Why there is no configuration; in one plain line.
+#[derive(Debug)]
+pub enum Problem {
+    /// The file can't be read, for now or for good.
+    Unreadable(String, io::Error),
+    /// Something is missing or makes no sense.
+    Invalid(String),
+}
+
+impl From<String> for Problem {
+    fn from(text: String) -> Problem {
+        Problem::Invalid(text)
+    }
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Problem::Unreadable(path, error) => write!(f, "cannot read {path}: {error}"),
+            Problem::Invalid(text) => f.write_str(text),
+        }
+    }
+}
+
 /// Reads and checks the whole configuration.
 ///
 /// # Errors
-/// One plain line on what is missing or makes no sense.
-pub fn read(first: First) -> Result<Config, String> {
+/// What is missing or makes no sense, or that the file can't be read.
+pub fn read(first: First) -> Result<Config, Problem> {
     let path = env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG is not set".to_string())?;
-    let text = fs::read_to_string(&path).map_err(|error| format!("cannot read {path}: {error}"))?;
-    let file: File = serde_json::from_str(&text).map_err(|error| format!("configuration: {error}"))?;
+    let text = fs::read_to_string(&path).map_err(|error| Problem::Unreadable(path, error))?;
+    parse(&text, first).map_err(Problem::Invalid)
+}
+
+fn parse(text: &str, first: First) -> Result<Config, String> {
+    let file: File = serde_json::from_str(text).map_err(|error| format!("configuration: {error}"))?;
     let address = |name: &str, written: Option<String>| {
         let said = env::var(name).ok();
         let text = if first == First::File { written.or(said) } else { said.or(written) };
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -13,11 +13,13 @@
 mod door;
 mod link;
 mod log;
+mod reload;
+mod retry;
 mod socket;
 
 use backends::Backends;
 use clients::{Desk, Phase};
-use config::{Config, First};
+use config::{Config, First, Problem};
 use counter::Counter;
 use discovery::Service;
 use door::Door;
@@ -34,6 +36,8 @@
 
 /// Descriptors that are neither a client's nor a backend's: streams, event queue, listener, discovery.
 const OWN_DESCRIPTORS: usize = 32;
+/// How long a start goes on trying what the system can't do for a moment: it has to be ready within 30 s.
+const START_PATIENCE: Duration = Duration::from_secs(20);
 /// The part of the memory that the bodies of clients may take all together.
 const BODIES_PART: usize = 8;
 /// After SIGTERM clients still come for up to 0.4 s; the listener stays open for longer than that. What is
@@ -50,7 +54,7 @@
         report(panic);
         std::process::abort();
     }));
-    match config::read(First::Environment).and_then(run) {
+    match configuration().and_then(run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
             eprintln!("brassport: {problem}");
@@ -59,11 +63,25 @@
     }
 }
 
+/// The configuration; what can't be read for a moment is read again.
+fn configuration() -> Result<Config, String> {
+    let mut invalid = None;
+    let read = || match config::read(First::Environment) {
+        Ok(config) => Ok(Some(config)),
+        Err(Problem::Unreadable(_, error)) => Err(error),
+        Err(Problem::Invalid(text)) => {
+            invalid = Some(text);
+            Ok(None)
+        }
+    };
+    let config = retry::blocking(START_PATIENCE, read);
+    let config = config.map_err(|error| format!("cannot read the configuration: {error}"))?;
+    config.ok_or_else(|| invalid.unwrap_or_default())
+}
+
 fn run(config: Config) -> Result<(), String> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(|error| format!("cannot start: {error}"))?;
+    let build = || tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = retry::blocking(START_PATIENCE, build).map_err(|error| format!("cannot start: {error}"))?;
     LocalSet::new().block_on(&runtime, front_door(config))
 }
 
@@ -72,8 +90,8 @@
     let spare = spare.ok_or_else(|| format!("limits.sockets: {} are too few", config.sockets))?;
     let descriptors = Arc::new(Semaphore::new(spare.min(Semaphore::MAX_PERMITS)));
     let take = |kind| signal(kind).map_err(|error| format!("cannot take signals: {error}"));
-    let (mut terminate, mut reload) = (take(SignalKind::terminate())?, take(SignalKind::hangup())?);
-    let listener = TcpListener::bind(config.listen)
+    let (mut terminate, hangups) = (take(SignalKind::terminate())?, take(SignalKind::hangup())?);
+    let listener = retry::within(START_PATIENCE, async || TcpListener::bind(config.listen).await)
         .await
         .map_err(|error| format!("cannot listen on {}: {error}", config.listen))?;
 
@@ -113,19 +131,11 @@
     });
     let mut serving = spawn_local(clients::serve(listener, desk, descriptors));
 
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = reload.recv() => match config::read(First::File) {
-                Ok(config) => {
-                    discovery.send_replace(config.discovery);
-                    counter.send_replace(config.counter);
-                }
-                // Guards against half a file: what is in force stays so.
-                Err(problem) => log::line(format!("not reloaded: {problem}")),
-            },
-        }
-    }
+    spawn_local(reload::follow(hangups, move |config| {
+        discovery.send_replace(config.discovery);
+        counter.send_replace(config.counter);
+    }));
+    terminate.recv().await;
     phase.send_replace(Phase::Leaving);
     sleep(LEAVING).await;
     phase.send_replace(Phase::Closing);
