Take a connection that this machine cannot make for no server's fault, and try it again

Seen: failing test: with socket and connect failing for 0.2 s (EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, ENFILE) a request with 4 s left was refused at once. Cause: Backends::connect answered every failure, and its own want of a descriptor, with NoConnection: the attempts were used up within a millisecond, and each counted as a strike, so that three of them ejected servers that had never been asked. Ruled out: the server (nothing reached it). Change: what fails on this machine is tried again for as long as a connection may take to come up; if that does not help the attempt is Moot, which the module holds against nobody.

--- a/src/bin/brassport/backends.rs
+++ b/src/bin/brassport/backends.rs
@@ -1,6 +1,7 @@
 //! The backends: where they are, the idle connections to them, and the attempts.
 
 use crate::link::{Failure, Link};
+use crate::retry::{self, Pauses};
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::header::{HeaderMap, HeaderValue};
@@ -13,7 +14,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
 /// Most bytes of a body, either way.
 pub const BODY_LIMIT: usize = 64 * 1024;
@@ -168,8 +169,8 @@
         let mut pooled = match self.idle(id).await {
             Some(pooled) => pooled,
             None => match self.connect(address).await {
-                Some(pooled) => pooled,
-                None => return Outcome::NoConnection.into(),
+                Ok(pooled) => pooled,
+                Err(outcome) => return outcome.into(),
             },
         };
         // Guards against sending to a backend that began to drain, went or moved while the connection came
@@ -212,17 +213,30 @@
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> Option<Pooled> {
+    /// A new connection. What this machine can't do for a moment is tried again for as long as a connection may
+    /// take to come up, and says nothing of the backend.
+    async fn connect(&self, address: SocketAddr) -> Result<Pooled, Outcome> {
         let descriptor = loop {
             match self.descriptors.clone().try_acquire_owned() {
                 Ok(descriptor) => break descriptor,
                 Err(_) if self.shed_idle() => {}
-                Err(_) => return None,
+                Err(_) => return Err(Outcome::Moot),
             }
         };
-        // Guards against a machine that is cut off: its connections never come up.
-        let link = timeout(self.connect_timeout, Link::open(address)).await.ok()?.ok()?;
-        Some(Pooled { link, since: Instant::now(), _descriptor: descriptor })
+        let (until, mut pauses) = (Instant::now() + self.connect_timeout, Pauses::new());
+        let mut outcome = Outcome::NoConnection;
+        loop {
+            // Guards against a machine that is cut off: its connections never come up.
+            match timeout_at(until, Link::open(address)).await {
+                Ok(Ok(link)) => return Ok(Pooled { link, since: Instant::now(), _descriptor: descriptor }),
+                Ok(Err(error)) if retry::is_local(&error) => {
+                    outcome = Outcome::Moot;
+                    sleep(pauses.next()).await;
+                }
+                Ok(Err(_)) => return Err(Outcome::NoConnection),
+                Err(_) => return Err(outcome),
+            }
+        }
     }
 
     fn park(&self, id: ServerId, address: SocketAddr, pooled: Pooled) {
@@ -286,7 +300,7 @@
         backends.put(7, at, true);
         let (old, new) = (backends.connect(at).await, backends.connect(at).await);
         tokio::time::pause();
-        let park = |pooled: Option<Pooled>| {
+        let park = |pooled: Result<Pooled, Outcome>| {
             let mut pooled = pooled.expect("a connection");
             pooled.since = Instant::now();
             backends.park(7, at, pooled);
--- a/src/bin/brassport/retry.rs
+++ b/src/bin/brassport/retry.rs
@@ -23,7 +23,6 @@
 }
 
 /// Whether a failed attempt to connect says nothing of the peer: this machine could not even begin.
-#[allow(dead_code)]
 pub fn is_local(error: &io::Error) -> bool {
     const EMFILE: i32 = 24;
     const ENFILE: i32 = 23;
