--- a/tests/front_door/discovery.rs
+++ b/tests/front_door/discovery.rs
@@ -196,12 +196,12 @@
 }
 
 #[test]
-fn a_list_of_a_thousand_backends_may_come_indented() {
+fn a_list_of_3200_backends_may_come_indented() {
     let (backend, agent) = (Peer::start(), Peer::start());
     let front = Front::start(&config(agent.address, list(&[])));
-    let state = |n: u32| if n == 700 { "ready" } else { "draining" };
+    let state = |n: u32| if n == 2700 { "ready" } else { "draining" };
     let targets: Vec<_> =
-        (0..1024).map(|n| target(&format!("s-{n:08x}"), backend.address, state(n))).collect();
+        (0..3200).map(|n| target(&format!("s-{n:08x}"), backend.address, state(n))).collect();
     let text = serde_json::to_string_pretty(&list(&targets)).expect("it is JSON");
     agent.next().ok(&text.replace("  ", "        "));
     agent.next();
