Take lists of up to 16 MiB, and go through each of them once

Seen: failing test: an indented list of 3,200 servers is 1.2 MiB, was cut off at 1 MiB and asked for again for ever; the front door kept an old list, which breaks the rule on drains at the next one. Cause: LIST_LIMIT in discovery.rs, set when 1,024 servers were the most. The same path searched the whole list once for each known server (10 million comparisons for 3,200); it now looks ids up in a set.

--- a/src/bin/brassport/backends.rs
+++ b/src/bin/brassport/backends.rs
@@ -92,6 +92,11 @@
         (backend.address, backend.ready) = (address, ready);
     }
 
+    /// Forgets a backend.
+    pub fn remove(&self, id: ServerId) {
+        self.known.borrow_mut().remove(&id);
+    }
+
     /// Forgets the backends that `keep` does not name.
     pub fn retain(&self, keep: impl Fn(ServerId) -> bool) {
         self.known.borrow_mut().retain(|id, _| keep(*id));
--- a/src/bin/brassport/discovery.rs
+++ b/src/bin/brassport/discovery.rs
@@ -48,8 +48,9 @@
 const LONGEST_BACK_OFF: Duration = Duration::from_millis(3300);
 /// The longest pause behind a call that took as long as any may.
 const BACK_OFF_FROM_SILENCE: Duration = Duration::from_millis(500);
-/// Most bytes of a list.
-const LIST_LIMIT: usize = 1 << 20;
+/// Most bytes of a list: some KB for each of several thousand servers, as lists may come indented. It takes memory
+/// as it comes, and a service that sends more is not discovery.
+const LIST_LIMIT: usize = 16 << 20;
 
 /// The list of backends, or what changed in it.
 #[derive(Deserialize)]
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -144,6 +144,7 @@
     pub fn servers(self: &Rc<Self>, kind: ListKind, list: List) {
         self.notice_step();
         let mut entries = Vec::with_capacity(list.targets.len());
+        let mut gone = HashSet::new();
         for target in &list.targets {
             let id = self.id(&target.uid);
             let address = target.endpoint.parse().ok();
@@ -151,18 +152,20 @@
             match address {
                 Some(at) if entry.lifecycle != Lifecycle::Gone => {
                     self.backends.put(id, at, entry.lifecycle == Lifecycle::Ready);
+                    gone.remove(&id);
+                }
+                _ => {
+                    self.backends.remove(id);
+                    gone.insert(id);
                 }
-                _ => self.backends.retain(|other| other != id),
             }
             entries.push(entry);
         }
-        if kind != ListKind::Delta {
-            self.backends.retain(|id| entries.iter().any(|entry| entry.id == id));
-        }
-        // Guards the memory: names of the gone would pile up, as each new backend has a new one.
-        let gone = |id| entries.iter().any(|entry| entry.id == id && entry.lifecycle == Lifecycle::Gone);
-        let listed = |id| kind == ListKind::Delta || entries.iter().any(|entry| entry.id == id);
-        self.inner.borrow_mut().known.retain(|id, _| listed(*id) && !gone(*id));
+        let listed: HashSet<ServerId> = entries.iter().map(|entry| entry.id).collect();
+        let stays = |id: &ServerId| kind == ListKind::Delta || listed.contains(id);
+        self.backends.retain(|id| stays(&id));
+        // Names of those that went would pile up, as each new backend has a new one.
+        self.inner.borrow_mut().known.retain(|id, _| stays(id) && !gone.contains(id));
         self.handle(Event::Servers { kind, entries });
     }
 
