Add a failing test: a request that is not finished in time, and one of a leave behind 19 KB

who_does_not_finish_asking... now wants a 408 before the close from whoever has begun to ask; the plain close it wanted before is a window in which the request's last byte may cross it and be lost. The leave behind many bytes passes since client_stream.rs looks for the end of a connection that it reads no further.

--- a/tests/front_door/clients.rs
+++ b/tests/front_door/clients.rs
@@ -53,6 +53,20 @@
     assert_eq!(String::from_utf8_lossy(&stuck.open()), "");
 }
 
+#[test]
+fn a_leave_is_noticed_behind_many_bytes_of_further_requests() {
+    let stuck = Stuck::start();
+    let mut config = config(closed_port(), list(&[target("s-00000001", stuck.address, "ready")]));
+    config["settings"]["bounds"]["connectTimeout"] = json!(30_000.0);
+    let front = Front::start(&config);
+    let mut client = front.client();
+    client.send(&(post("a job") + &get("/next").repeat(200)));
+    stuck.wait_for_connect();
+    drop(client);
+    thread::sleep(Duration::from_millis(100));
+    assert_eq!(String::from_utf8_lossy(&stuck.open()), "");
+}
+
 #[test]
 fn nothing_is_sent_for_a_client_that_has_gone_while_it_was_held_for_a_place() {
     let backend = Peer::start();
@@ -346,10 +360,11 @@
     assert_eq!(second.read().status(), 200);
     second.send("GET ");
     silent.expect_close();
-    half_head.expect_close();
-    assert_eq!(half_body.read().status(), 408);
-    half_body.expect_close();
-    second.expect_close();
+    // Whoever began to ask gets an answer: the rest of it may cross the close.
+    for mut begun in [half_head, half_body, second] {
+        assert_eq!(begun.read().status(), 408);
+        begun.expect_close();
+    }
     // 3 s are owed; the rest is for a slow machine.
     assert!(came.elapsed() < Duration::from_millis(6000), "it took {:?}", came.elapsed());
     // One that is idle behind an answer may stay.
