Answer 408 to a request that does not come to its end in time, before the close

Seen: by going through every close. A connection on which half a request stood for 2.5 s was closed without a word (callers.rs, dismissed() false, clients.rs 'return'); the request's last byte may come in that moment and then has been taken by this machine and is never answered. Change: what a close ends is a type now (Dismissal); whoever has begun to ask gets a 408, and the connection stays until the client has it. Where the client takes nothing, the plain close stays, as an answer may stand half written.

--- a/src/bin/brassport/callers.rs
+++ b/src/bin/brassport/callers.rs
@@ -36,6 +36,17 @@
     Leaving,
 }
 
+/// What the close of a connection ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Dismissal {
+    /// Nobody asks on it.
+    Unused,
+    /// A request that has come in part and took too long.
+    HalfAsked,
+    /// It had its last answer.
+    Answered,
+}
+
 #[derive(Debug)]
 struct State {
     stage: Cell<Stage>,
@@ -167,16 +178,22 @@
     pub fn asking_until(&self) -> Instant {
         self.state.since.get() + ASKING
     }
-    /// Waits until the connection is to close, and tells whether that is in order, as nobody asks on it.
-    /// Guards against closing it on a request that came meanwhile, read or not: the system is asked.
-    pub async fn dismissed(&self, connection: &Connection) -> bool {
+    /// Waits until the connection is to close, and tells what that ends. Whether a request came meanwhile is
+    /// asked of the system: it is not closed on one, read or not.
+    pub async fn dismissed(&self, connection: &Connection) -> Dismissal {
         loop {
             self.state.dismiss.notified().await;
             if self.at() != Stage::Leaving {
                 continue;
             }
-            if !self.state.unused() || connection.is_quiet() {
-                return self.state.unused();
+            if !self.state.unused() {
+                return match self.state.left.get() {
+                    Stage::New | Stage::Asking => Dismissal::HalfAsked,
+                    _ => Dismissal::Answered,
+                };
+            }
+            if connection.is_quiet() {
+                return Dismissal::Unused;
             }
             self.stage(Stage::Asking);
         }
--- a/src/bin/brassport/client_stream.rs
+++ b/src/bin/brassport/client_stream.rs
@@ -5,7 +5,7 @@
 
 use crate::callers::Caller;
 use crate::socket::Socket;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::future::poll_fn;
 use std::io::{self, IoSlice};
@@ -132,6 +132,8 @@
 pub struct Connection {
     socket: Socket,
     input: RefCell<Input>,
+    /// Whether something stands to be written that the client does not take for now.
+    write_blocked: Cell<bool>,
 }
 
 impl Connection {
@@ -146,7 +148,7 @@
             ended: false,
             reader: None,
         };
-        Rc::new(Connection { socket, input: RefCell::new(input) })
+        Rc::new(Connection { socket, input: RefCell::new(input), write_blocked: Cell::new(false) })
     }
 
     /// Notes that a head was read and that a body of so many bytes belongs to it. Returns when the head came.
@@ -178,6 +180,11 @@
         !self.input.borrow().ahead.is_empty()
     }
 
+    /// Whether something stands to be written that the client does not take for now.
+    pub fn is_write_blocked(&self) -> bool {
+        self.write_blocked.get()
+    }
+
     /// Whether nothing has come that was not handed on: no byte, no end, no error.
     pub fn is_quiet(&self) -> bool {
         !self.has_read_ahead() && self.socket.is_quiet()
@@ -289,14 +296,18 @@
 
 impl AsyncWrite for ClientStream {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.connection.socket.clone()).poll_write(context, bytes)
+        let written = Pin::new(&mut self.connection.socket.clone()).poll_write(context, bytes);
+        self.connection.write_blocked.set(written.is_pending());
+        written
     }
     fn poll_write_vectored(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.connection.socket.clone()).poll_write_vectored(context, bytes)
+        let written = Pin::new(&mut self.connection.socket.clone()).poll_write_vectored(context, bytes);
+        self.connection.write_blocked.set(written.is_pending());
+        written
     }
     fn is_write_vectored(&self) -> bool {
         true
--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -2,7 +2,7 @@
 
 use crate::acceptor::{Accepted, Acceptor};
 use crate::backends::{Backends, Message, BODY_LIMIT};
-use crate::callers::{Caller, Callers, Stage};
+use crate::callers::{Caller, Callers, Dismissal, Stage};
 use crate::client_stream::{ClientStream, Connection};
 use crate::config::Names;
 use crate::door::{Answer, Door};
@@ -21,6 +21,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::sync::{watch, Semaphore};
 use tokio::task::JoinSet;
@@ -41,6 +42,8 @@
 const SWEEP: Duration = Duration::from_millis(100);
 /// How long the rest of an answer may take on a connection that is to close.
 const LAST_ANSWER: Duration = Duration::from_secs(2);
+/// The answer to a request that does not come to its end in time.
+const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 /// Customers are numbers below this.
 const CUSTOMERS: u64 = 1 << 33;
 /// Most bytes of a request's id.
@@ -168,25 +171,40 @@
     let ended = tokio::select! {
         biased;
         ended = &mut serving => ended,
-        in_order = caller.dismissed(&client) => {
-            if !in_order {
-                // Nobody waits for an answer on it.
+        dismissal = caller.dismissed(&client) => match dismissal {
+            Dismissal::Answered => return,
+            // It takes nothing: what would be written now would stand in the middle of an earlier answer.
+            Dismissal::HalfAsked if client.is_write_blocked() => return,
+            Dismissal::HalfAsked => {
+                // Its last byte may come in this moment: whoever has begun to ask gets an answer.
+                caller.stage(Stage::Last);
+                let mut stream = serving.into_parts().io.into_inner();
+                let written = timeout(LAST_ANSWER, stream.write_all(TOO_SLOW)).await;
+                if matches!(written, Ok(Ok(()))) {
+                    last_words(stream, &caller, &client).await;
+                }
                 return;
             }
-            // Its last answer may still be on its way out.
-            std::pin::Pin::new(&mut serving).graceful_shutdown();
-            let Ok(ended) = timeout(LAST_ANSWER, &mut serving).await else { return };
-            ended
+            Dismissal::Unused => {
+                // Its last answer may still be on its way out.
+                std::pin::Pin::new(&mut serving).graceful_shutdown();
+                let Ok(ended) = timeout(LAST_ANSWER, &mut serving).await else { return };
+                ended
+            }
         }
     };
     // Its client has gone, or what it sent is no HTTP and was answered so; else it was closed in order.
     if ended.is_err() || caller.at() == Stage::Last {
         caller.stage(Stage::Last);
-        tokio::select! {
-            () = serving.into_parts().io.into_inner().linger() => {}
-            // Others need its descriptor more.
-            _ = caller.dismissed(&client) => {}
-        }
+        last_words(serving.into_parts().io.into_inner(), &caller, &client).await;
+    }
+}
+
+/// Keeps a connection behind its last answer until the client has it, unless others need the descriptor more.
+async fn last_words(stream: ClientStream, caller: &Caller, client: &Connection) {
+    tokio::select! {
+        () = stream.linger() => {}
+        _ = caller.dismissed(client) => {}
     }
 }
 
