--- a/fault-soak/src/gateway.rs
+++ b/fault-soak/src/gateway.rs
@@ -88,6 +88,9 @@
         // Gateways keep their ports over their lives; nothing else takes one at an address of its own.
         let ip = Ipv4Addr::new(127, 87, (std::process::id() % 250) as u8, (index + 1) as u8);
         let address = std::net::TcpListener::bind((ip, 0))?.local_addr()?;
+        let log = folder.join(format!("gateway-{index}.log"));
+        // Each life writes on behind the one before; an earlier run's log is of no use.
+        File::create(&log)?;
         Ok(Gateway {
             index,
             address,
@@ -96,7 +99,7 @@
             program: program.to_path_buf(),
             shim: shim.map(Path::to_path_buf),
             config: folder.join(format!("gateway-config-{index}.json")),
-            log: folder.join(format!("gateway-{index}.log")),
+            log,
             state: Mutex::new(Process::default()),
             ended: watch::Sender::new(0),
         })
@@ -139,6 +142,7 @@
             .env("BALANCER_LISTEN", self.address.to_string())
             .env("BALANCER_DISCOVERY", told.discovery.to_string())
             .env("BALANCER_CONFIG", &self.config)
+            .env("BALANCER_TRACE", "1")
             .stdout(Stdio::null())
             .stderr(log)
             .kill_on_drop(true);
--- a/fault-soak/src/invariants.rs
+++ b/fault-soak/src/invariants.rs
@@ -53,6 +53,8 @@
     Process,
     /// Bad clients get an error or a close in time.
     BadClient,
+    /// A gateway has seen a rule broken, or has panicked.
+    Reported,
     /// What is sent to servers carries its request's id, and its key where the class wants one.
     Malformed,
 }
--- a/fault-soak/src/run.rs
+++ b/fault-soak/src/run.rs
@@ -4,19 +4,19 @@
 use crate::counter::{Counter, Mood};
 use crate::discovery::{Discovery, Entry, State};
 use crate::gateway::{Gateway, Told};
-use crate::invariants::{check, Violation};
+use crate::invariants::{check, Rule, Violation};
 use crate::ledger::{Ledger, Millis, Records};
 use crate::proxy::{LineFaults, Proxy};
 use crate::scenario::{Event, Misdeed, Scenario, Site, Trouble};
 use crate::server::{Manners, Server};
 use crate::shim::Faults;
 use oorandom::Rand64;
-use std::io;
 use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::{fs, io};
 use tokio::time::{sleep, timeout};
 
 /// The rig's own timer is looked at this often.
@@ -109,12 +109,28 @@
         gateway.kill().await;
     }
     drop(world);
-    let violations_of = |records: &Records| check(&site, records);
     let records = ledger.with(std::mem::take);
-    let violations = violations_of(&records);
+    let mut violations = check(&site, &records);
+    violations.extend(reported(site.gateways, &setup.folder)?);
     Ok(Report { scenario, violations, records })
 }
 
+/// Rules that gateways themselves have seen broken, and their panics, from their logs.
+fn reported(gateways: usize, folder: &Path) -> io::Result<Vec<Violation>> {
+    let mut found = Vec::new();
+    for gateway in 0..gateways {
+        let log = fs::read_to_string(folder.join(format!("gateway-{gateway}.log")))?;
+        let lines = log.lines().filter(|line| line.contains("violation:") || line.contains("panicked"));
+        found.extend(lines.map(|line| Violation {
+            rule: Rule::Reported,
+            request: None,
+            at: 0.0,
+            text: format!("gateway {gateway}: {line}"),
+        }));
+    }
+    Ok(found)
+}
+
 fn start_files(site: &Site, ledger: &Arc<Ledger>, setup: &Setup) -> io::Result<Vec<Arc<Gateway>>> {
     let one = |index| {
         Gateway::new(index, ledger.clone(), &setup.program, setup.shim.as_deref(), Path::new(&setup.folder))
--- a/src/bin/brassport/backends.rs
+++ b/src/bin/brassport/backends.rs
@@ -135,18 +135,18 @@
         }
     }
 
-    /// One attempt. It is over, and its socket closed or idle again, when this returns. `wanted` tells
-    /// whether the request still waits for an answer and may still be sent, `cancel` calls the attempt off.
+    /// One attempt. It is over, and its socket closed or idle again, when this returns. `may_begin` tells
+    /// whether the attempt may begin now, given whether its backend is ready; `cancel` calls the attempt off.
     pub async fn attempt(
         &self,
         id: ServerId,
         message: &Message,
         expire_at: Instant,
         cancel: impl Future,
-        wanted: impl Fn() -> bool,
+        may_begin: impl Fn(bool) -> bool,
     ) -> End {
         let written = Cell::new(false);
-        let exchange = self.exchange(id, message, expire_at, wanted, &written);
+        let exchange = self.exchange(id, message, expire_at, may_begin, &written);
         // The exchange owns the connection: whichever branch ends first, the others are dropped, and the
         // socket closed, before this returns and the module hears of it.
         let ended = tokio::select! {
@@ -167,7 +167,7 @@
         id: ServerId,
         message: &Message,
         expire_at: Instant,
-        wanted: impl Fn() -> bool,
+        may_begin: impl Fn(bool) -> bool,
         written: &Cell<bool>,
     ) -> End {
         let Some(address) = self.ready_at(id) else { return Outcome::Moot.into() };
@@ -180,7 +180,7 @@
         };
         // Guards against sending to a backend that began to drain, went or moved while the connection came
         // up, and against sending for a request that was answered meanwhile.
-        if self.ready_at(id) != Some(address) || !wanted() {
+        if !may_begin(self.ready_at(id) == Some(address)) {
             return Outcome::Moot.into();
         }
         written.set(true);
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -6,11 +6,13 @@
 use crate::clock::Clock;
 use crate::counter::Counter;
 use crate::discovery::{List, State, Target};
+use crate::guard::{Guard, Sending, Violation};
 use crate::log;
 use hyper::body::Bytes;
 use hyper::Response;
 use springusher::{
-    Action, AttemptEnd, CountName, Counted, Event, Gateway, InvalidSetting, Lifecycle, ListKind, Millis,
+    Action, AttemptEnd, CountName, Counted, Effect, Event, Gateway, InvalidSetting, Lifecycle, ListKind,
+    Millis,
 };
 use springusher::{Request, RequestId, ServerEntry, ServerId, Settings};
 use std::cell::RefCell;
@@ -53,6 +55,9 @@
     answer: Option<oneshot::Sender<Answer>>,
     /// To call each attempt off; `None` once it has ended.
     attempts: Vec<Option<oneshot::Sender<()>>>,
+    /// Whether it must not run twice, and whether an attempt that has ended may have run.
+    once: bool,
+    may_have_run: bool,
 }
 
 struct Inner {
@@ -78,6 +83,9 @@
     zones: Vec<String>,
     backends: Rc<Backends>,
     counter: Counter,
+    /// Whether requests of each class must not run twice.
+    once: Vec<bool>,
+    guard: Guard,
     inner: RefCell<Inner>,
     sooner: Notify,
 }
@@ -91,6 +99,7 @@
         counter: Counter,
     ) -> Result<Rc<Door>, InvalidSetting> {
         let clock = Clock::new();
+        let once = settings.classes.iter().map(|class| class.effect == Effect::Once).collect();
         let inner = Inner {
             gateway: Gateway::new(settings, seed, clock.now())?,
             requests: HashMap::new(),
@@ -99,8 +108,8 @@
             alarms: BinaryHeap::new(),
             known: HashMap::new(),
         };
-        let (inner, sooner) = (RefCell::new(inner), Notify::new());
-        Ok(Rc::new(Door { clock, zones, backends, counter, inner, sooner }))
+        let (inner, sooner, guard) = (RefCell::new(inner), Notify::new(), Guard::default());
+        Ok(Rc::new(Door { clock, zones, backends, counter, once, guard, inner, sooner }))
     }
 
     /// Takes a request in; `expires_in` and the id are filled in here. Guards against a second effect:
@@ -124,13 +133,33 @@
         let left = request.expires_in;
         log::trace(&name, || format!("taken in as {}, {left:.0} ms left", request.id));
         let message = Rc::new(message);
-        let hand = InHand { name, client, message, deadline, answer: Some(answer), attempts: Vec::new() };
+        let once = self.once.get(request.class).copied().unwrap_or(true);
+        let hand = InHand {
+            name,
+            client,
+            message,
+            deadline,
+            answer: Some(answer),
+            attempts: Vec::new(),
+            once,
+            may_have_run: false,
+        };
         inner.requests.insert(request.id, hand);
         drop(inner);
         self.handle(Event::Request(request));
         Some(Ticket { door: self.clone(), id: request.id, answer: receiver })
     }
 
+    /// Reports what the guard has counted, and what is still in hand as the program ends.
+    pub fn report(&self) {
+        let waits = |hand: &&InHand| hand.answer.is_some() && !hand.client.has_left();
+        let waiting = self.inner.borrow().requests.values().filter(waits).count();
+        if waiting > 0 {
+            self.guard.violated(Violation::EndedWithRequests, waiting);
+        }
+        log::last_line(format!("at the end: {}", self.guard));
+    }
+
     /// Fails all that is still in hand, as the program has to end.
     pub fn fail_all(self: &Rc<Self>) {
         let answers: Vec<_> =
@@ -269,7 +298,12 @@
                 let number = hand.attempts.len() as u8;
                 log::trace(&hand.name, || format!("attempt {number} to {server:08x}"));
                 hand.attempts.push(Some(cancel));
-                let times = (start_by, expire_at);
+                let mut times = (start_by, expire_at);
+                if hand.once && (hand.may_have_run || hand.attempts.iter().rev().skip(1).any(Option::is_some))
+                {
+                    self.guard.violated(Violation::Repeated, &hand.name);
+                    times.0 = f64::NEG_INFINITY;
+                }
                 let attempt =
                     self.clone().attempt(request, number, server, hand.message.clone(), times, cancelled);
                 tokio::task::spawn_local(attempt);
@@ -307,10 +341,18 @@
         cancelled: oneshot::Receiver<()>,
     ) {
         let sent = self.clock.now();
-        let wanted = || {
-            // The system is asked: the runtime may not have looked at the client's socket for a while.
-            let waits = |hand: &InHand| hand.answer.is_some() && !hand.client.has_left();
-            self.clock.now() < start_by && self.inner.borrow().requests.get(&request).is_some_and(waits)
+        let may_begin = |server_ready| {
+            let inner = self.inner.borrow();
+            let hand = inner.requests.get(&request);
+            let sending = Sending {
+                answered: hand.is_none_or(|hand| hand.answer.is_none()),
+                // The system is asked: the runtime may not have looked at the client's socket for a while.
+                client_left: hand.is_some_and(|hand| hand.client.has_left()),
+                window_over: self.clock.now() >= start_by,
+                server_ready,
+                time_left: Instant::now() < expire_at,
+            };
+            self.guard.may_send(hand.map_or("", |hand| hand.name.as_str()), sending)
         };
         // A sender that is dropped without a word cancels nothing.
         let cancel = async {
@@ -319,7 +361,7 @@
             }
         };
         let End { outcome, used, answer } =
-            self.backends.attempt(server, &message, expire_at, cancel, wanted).await;
+            self.backends.attempt(server, &message, expire_at, cancel, may_begin).await;
         let mut inner = self.inner.borrow_mut();
         if let Some(answer) = answer {
             inner.answer(request, Answer::Served(answer));
@@ -328,6 +370,7 @@
         if let Some(hand) = inner.requests.get_mut(&request) {
             log::trace(&hand.name, || format!("attempt {attempt} ended: {outcome:?}"));
             hand.attempts[usize::from(attempt)] = None;
+            hand.may_have_run |= !outcome.never_ran();
             finished = hand.answer.is_none();
         }
         inner.forget_if_over(request);
@@ -384,6 +427,9 @@
             return;
         }
         log::trace(&hand.name, || "its client left, or its time is over".into());
+        if Instant::now() < hand.deadline && !hand.client.has_left() {
+            self.door.guard.violated(Violation::Unanswered, &hand.name);
+        }
         inner.forget_if_over(self.id);
         drop(inner);
         self.door.handle(Event::ClientGone(self.id));
--- a/src/bin/brassport/log.rs
+++ b/src/bin/brassport/log.rs
@@ -27,6 +27,11 @@
     }
 }
 
+/// Writes the last line of all, at once: behind it the program ends.
+pub fn last_line(text: String) {
+    let _ = writeln!(io::stderr(), "brassport: {text}");
+}
+
 /// Writes one step of a request if the trace is on; otherwise nothing is made of it.
 pub fn trace(subject: impl Display, step: impl FnOnce() -> String) {
     if traces() {
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -11,6 +11,7 @@
 mod counter;
 mod discovery;
 mod door;
+mod guard;
 mod link;
 mod log;
 mod reload;
@@ -144,5 +145,6 @@
         door.fail_all();
         let _ = timeout(LAST_WORDS, &mut serving).await;
     }
+    door.report();
     Ok(())
 }
