--- a/tests/shared_quota.rs
+++ b/tests/shared_quota.rs
@@ -197,6 +197,41 @@
     assert!(calls < tries / 2, "{calls} calls in vain for {tries} tries");
 }
 
+/// Which share of tries, each of a customer never seen before, is sent on where the counter leaves one in two calls
+/// unanswered and tells `total` of the others; behind as many from which the gateway may learn.
+fn sent_of_strangers(total: f64) -> f64 {
+    let servers: Vec<_> = (1..=60).map(server).collect();
+    let mut host = Host::seeded(told(0, false), 5, &servers);
+    let mut sent = 0;
+    for id in 1..=400 {
+        host.now += 50.0;
+        let (customer, spread, expires_in) = (1000 + id, GATEWAYS, 3600.0);
+        let request =
+            Request { id, customer, plan: 0, class: 0, units: 1.0, spread, expires_in, repeat: false };
+        let mut actions = host.event(Event::Request(request));
+        let calls = actions.iter().find_map(|action| match action {
+            Action::Count { name, .. } => Some(*name),
+            _ => None,
+        });
+        if let Some(name) = calls {
+            let counted = if id % 2 == 0 { Counted::Unknown } else { Counted::Total(total) };
+            actions.extend(host.event(Event::Counted { name, counted }));
+        }
+        if !sends(&actions).is_empty() {
+            sent += u32::from(id > 200);
+            host.end(id, 0, Outcome::Ok, None);
+        }
+    }
+    f64::from(sent) / 200.0
+}
+
+#[test]
+fn what_the_counter_leaves_open_goes_by_what_it_told_of_other_tries() {
+    let (pressed, quiet) = (sent_of_strangers(1e6), sent_of_strangers(1.0));
+    assert!(pressed < 0.2, "{pressed} of the tries sent on though no bucket holds anything");
+    assert!(quiet > 0.95, "{quiet} of the tries sent on though each bucket holds enough");
+}
+
 #[test]
 fn a_refused_try_gives_its_draw_back() {
     let mut world = World::new(false, 11);
