Where the counter gives no word, go by the share of such tries that it let in lately

Cause: a try without a word (late, or not asked to spare the counter) went by the local store, which starts three quarters full for each customer a gateway has not met; most have not met it, so that 0.955 of such tries were sent on though no bucket held anything (failing test). Change: counts.rs keeps, for each plan and for first and further tries, the share that buckets let in lately; without a word the chance is at most that.

--- a/src/control.rs
+++ b/src/control.rs
@@ -210,7 +210,10 @@
             no_server: 0,
             requests: BTreeMap::new(),
             fleet: Fleet::default(),
-            counts: Counts::new(settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max)),
+            counts: Counts::new(
+                settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max),
+                settings.plans.len(),
+            ),
             class_mix: vec![1.0 / classes.max(1) as f64; classes],
             class_order,
             answer_time: settings.classes.iter().map(|class| class.aim / (2.0 * PATIENCE)).collect(),
@@ -276,7 +279,10 @@
             self.counts.draw(self.now, &request, &plan);
             return;
         }
-        let share = self.within_quota(&request);
+        let mut share = self.within_quota(&request);
+        if blind && request.spread > 1 {
+            share = share.min(self.counts.let_in(&request));
+        }
         self.toss(&request, share, actions);
     }
 
@@ -543,7 +549,8 @@
         match told {
             Told::Bucket(within) => {
                 let share = within.map(|within| f64::from(u8::from(within)));
-                let share = share.unwrap_or_else(|| self.within_quota(&request));
+                let share =
+                    share.unwrap_or_else(|| self.within_quota(&request).min(self.counts.let_in(&request)));
                 self.toss(&request, share, actions);
             }
             Told::Places(Some(taken)) if taken > f64::from(self.settings.plans[request.plan].open) => {
--- a/src/counts.rs
+++ b/src/counts.rs
@@ -19,6 +19,8 @@
 /// answer adds: asked more than it can bear, it answers nobody in time.
 const SHED: f64 = 0.1;
 const REGAIN: f64 = 0.01;
+/// Weight of a new word of a bucket in the share that they let in: about the last 20 count.
+const LEARN: f64 = 0.05;
 /// Least chance that it is asked: that it is back has to be noticed.
 const LEAST_ASKED: f64 = 0.02;
 
@@ -42,14 +44,18 @@
     held: BTreeMap<(RequestId, CountName), f64>,
     /// Chance that the counter is asked.
     asked: f64,
+    /// Of each plan, the share of first tries and of further ones that the counter's buckets let in lately.
+    let_in: Vec<[f64; 2]>,
     /// How far the clock that all gateways share is ahead of the one that times are given in.
     ahead: Millis,
 }
 
 impl Counts {
     /// `longest` is the longest time that a request may take.
-    pub fn new(longest: Millis) -> Counts {
+    pub fn new(longest: Millis, plans: usize) -> Counts {
+        let let_in = vec![[1.0; 2]; plans];
         Counts {
+            let_in,
             stretch: longest.max(1.0),
             calls: Calls::new(),
             held: BTreeMap::new(),
@@ -68,6 +74,11 @@
         coin < self.asked
     }
 
+    /// The share of such requests that the buckets let in lately: what goes by where the counter says nothing.
+    pub fn let_in(&self, request: &Request) -> f64 {
+        self.let_in[request.plan][usize::from(request.repeat)]
+    }
+
     /// Asks for a place.
     pub fn enter(&mut self, now: Millis, request: &Request) {
         let (name, _) = number((now + self.ahead) / self.stretch, request.customer);
@@ -116,7 +127,12 @@
         let plan = &plans[request.plan];
         let seconds = number((now + self.ahead) / fill(plan), request.customer).1 * fill(plan) / 1000.0;
         let holds = LEFT_OVER * plan.burst + plan.rate * seconds;
-        Some((request.id, Told::Bucket(total.map(|total| total <= holds))))
+        let within = total.map(|total| total <= holds);
+        if let Some(within) = within {
+            let share = &mut self.let_in[request.plan][usize::from(request.repeat)];
+            *share += LEARN * (f64::from(u8::from(within)) - *share);
+        }
+        Some((request.id, Told::Bucket(within)))
     }
 
     pub fn hand_over(&mut self, actions: &mut Vec<Action>) {
