Keep no more memory for what a client sends ahead than it takes

client_stream.rs kept 8 KB for each connection that had sent anything, up to 8 MB at 1,024 descriptors, and asked the system about the client's leave at the admission as well as at the first byte; once is enough.

--- a/src/bin/brassport/client_stream.rs
+++ b/src/bin/brassport/client_stream.rs
@@ -18,8 +18,8 @@
 
 /// Most bytes that are read ahead of their use.
 const AHEAD_LIMIT: usize = 16 * 1024;
-/// Most bytes read from the socket at once.
-const READ_SIZE: usize = 8 * 1024;
+/// Room for bytes that stays with a connection while none stand in it: there may be a thousand of them.
+const KEPT_ROOM: usize = 1024;
 /// Between two looks for the end of a connection on which nothing more is read ahead.
 const END_LOOK: Duration = Duration::from_millis(20);
 /// How long what a client is still sending is read, so that it finds the answer it was given before.
@@ -106,6 +106,9 @@
         };
         buffer.put_slice(&self.ahead[..count]);
         self.ahead.drain(..count);
+        if self.ahead.is_empty() {
+            self.ahead.shrink_to(KEPT_ROOM);
+        }
         let mut used = count;
         while let Some((read, at)) = self.read_at.front_mut().filter(|_| used > 0) {
             self.arrived = *at;
@@ -175,6 +178,11 @@
         }
     }
 
+    /// Whether the client is known to have gone, without asking the system.
+    pub fn has_ended(&self) -> bool {
+        self.input.borrow().ended
+    }
+
     /// Whether some of a further request has been read.
     pub fn has_read_ahead(&self) -> bool {
         !self.input.borrow().ahead.is_empty()
@@ -194,7 +202,7 @@
     /// request that has come whole.
     pub async fn left(&self) {
         while !self.input.borrow().ended {
-            let room = AHEAD_LIMIT.saturating_sub(self.input.borrow().ahead.len()).min(READ_SIZE);
+            let room = AHEAD_LIMIT.saturating_sub(self.input.borrow().ahead.len());
             if room > 0 {
                 let read = poll_fn(|context| {
                     let mut input = self.input.borrow_mut();
@@ -216,7 +224,7 @@
     pub fn has_left(&self) -> bool {
         let mut input = self.input.borrow_mut();
         while !input.ended {
-            let room = AHEAD_LIMIT.saturating_sub(input.ahead.len()).min(READ_SIZE);
+            let room = AHEAD_LIMIT.saturating_sub(input.ahead.len());
             if room == 0 {
                 break;
             }
@@ -243,7 +251,7 @@
             if input.ended {
                 return Poll::Ready(Ok(()));
             }
-            match ready!(self.socket.poll_read_into(context, READ_SIZE, &mut input.ahead)) {
+            match ready!(self.socket.poll_read_into(context, AHEAD_LIMIT, &mut input.ahead)) {
                 Ok(0) => input.ended = true,
                 Ok(count) => input.take_in(count),
                 Err(error) => return Poll::Ready(Err(error)),
--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -248,7 +248,7 @@
         },
     };
     let deadline = arrived + asked.patience.saturating_sub(MARGIN);
-    if client.has_left() {
+    if client.has_ended() {
         return Err(text(StatusCode::BAD_REQUEST, "its client has gone"));
     }
     if deadline <= Instant::now() {
--- a/src/bin/brassport/socket.rs
+++ b/src/bin/brassport/socket.rs
@@ -15,17 +15,19 @@
     matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
 }
 
-/// Reads at most so many bytes behind what `bytes` holds.
+/// Most bytes of one read.
+const READ_SIZE: usize = 4096;
+
+/// Reads at most so many bytes behind what `bytes` holds, which takes no more memory than what has come.
 fn append(
     bytes: &mut Vec<u8>,
     most: usize,
     read: impl FnOnce(&mut [u8]) -> io::Result<usize>,
 ) -> io::Result<usize> {
-    let before = bytes.len();
-    bytes.resize(before + most, 0);
-    let read = read(&mut bytes[before..]);
-    bytes.truncate(before + *read.as_ref().unwrap_or(&0));
-    read
+    let mut room = [0; READ_SIZE];
+    let count = read(&mut room[..most.min(READ_SIZE)])?;
+    bytes.extend_from_slice(&room[..count]);
+    Ok(count)
 }
 
 #[derive(Debug, Clone)]
