--- a/fault-soak/src/client.rs
+++ b/fault-soak/src/client.rs
@@ -5,6 +5,7 @@
 use crate::ledger::{BadClient, Carrier, Ending, Ledger, Millis, RequestId, RequestRecord};
 use crate::proxy::reset_on_close;
 use crate::scenario::{Site, PLANS};
+use crate::server::is_served_body;
 use oorandom::Rand64;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -39,6 +40,16 @@
     Noise,
     /// Connects and says nothing.
     Mute,
+    /// Sends a request with a body of up to 64 KB.
+    Big,
+    /// Reads its answer slowly.
+    SlowReader,
+    /// Has next to no time.
+    Hurried,
+    /// Ends its sending behind its request, and so has left.
+    HalfClose,
+    /// Sends its request on two connections at once.
+    Twice,
     /// Names headers that a gateway has to pass on as ones of its connection alone.
     HideHeaders,
 }
@@ -107,6 +118,11 @@
             15 => Behaviour::Noise,
             16 => Behaviour::Mute,
             17 => Behaviour::HideHeaders,
+            18 | 19 => Behaviour::Big,
+            20 | 21 => Behaviour::SlowReader,
+            22 | 23 => Behaviour::Hurried,
+            24 => Behaviour::HalfClose,
+            25 => Behaviour::Twice,
             _ => Behaviour::Usual,
         }
     }
@@ -122,15 +138,20 @@
         }
     }
 
-    fn draft(&self, rng: &mut Rand64, intake: Intake, carrier: Carrier, hide: bool) -> Draft {
+    fn draft(&self, rng: &mut Rand64, intake: Intake, carrier: Carrier, behaviour: Behaviour) -> Draft {
         let id = self.ids.fetch_add(1, Ordering::Relaxed);
         let class = &self.site.classes[rng.rand_range(0..self.site.classes.len() as u64) as usize];
         // Most customers are far from any limit.
         let plan = if rng.rand_float() < 0.6 { 0 } else { rng.rand_range(0..PLANS.len() as u64) as usize };
         let customer = (plan as u64 + 1) * 0x1000 + rng.rand_range(0..CUSTOMERS);
-        let patience = (class.deadline * (0.3 + 0.7 * rng.rand_float())).round();
+        let patience = match behaviour {
+            Behaviour::Hurried => (1.0 + 40.0 * rng.rand_float()).round(),
+            _ => (class.deadline * (0.3 + 0.7 * rng.rand_float())).round(),
+        };
         let method = if class.effect == crate::ledger::Effect::Free { "GET" } else { "POST" };
-        let body = if method == "POST" { "x".repeat(rng.rand_range(0..400) as usize) } else { String::new() };
+        let most = if behaviour == Behaviour::Big { 65_000 } else { 400 };
+        let body =
+            if method == "POST" { "x".repeat(rng.rand_range(0..most) as usize) } else { String::new() };
         let mut head = format!(
             "{method} /{name}/{id} HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: {id:016x}\r\nX-Class: {name}\r\n\
              Plan: {plan}\r\nCookie: client={customer:016x}\r\nX-Deadline: {patience}m\r\n\
@@ -142,7 +163,7 @@
         if class.effect == crate::ledger::Effect::Keyed {
             head.push_str(&format!("Idempotency-Key: {id:032x}\r\n"));
         }
-        if hide {
+        if behaviour == Behaviour::HideHeaders {
             head.push_str("Connection: keep-alive, X-Request-Id, Idempotency-Key, X-Deadline\r\n");
         }
         if method == "POST" {
@@ -191,11 +212,10 @@
             Behaviour::Flood { .. } => 60,
             _ => 1,
         };
-        let hide = behaviour == Behaviour::HideHeaders;
         let mut drafts = Vec::new();
         for nth in 0..count {
             let carrier = if nth == 0 { carrier } else { Carrier::Pipelined };
-            drafts.push(self.draft(rng, intake, carrier, hide));
+            drafts.push(self.draft(rng, intake, carrier, behaviour));
         }
         let all: Vec<u8> = drafts.iter().flat_map(|draft| draft.bytes.iter().copied()).collect();
         if let Behaviour::Slow { over } = behaviour {
@@ -215,6 +235,15 @@
             // A failed write shows in the reading.
             let _ = timeout(Duration::from_secs(1), reader.stream.write_all(&all)).await;
         }
+        let second = match behaviour {
+            Behaviour::Twice => self.send_copy(&all).await,
+            _ => None,
+        };
+        if behaviour == Behaviour::HalfClose {
+            let left_at = self.ledger.now();
+            self.ledger.request(drafts[0].id, |request| request.left_at = Some(left_at));
+            let _ = reader.stream.shutdown().await;
+        }
         let leave = match behaviour {
             Behaviour::Leave { after, reset } => Some((after, reset)),
             Behaviour::Pipeline { leave, .. } => leave.map(|after| (after, false)),
@@ -233,7 +262,16 @@
             }
             return;
         }
-        self.read_answers(reader, &drafts, intake).await;
+        let slow = behaviour == Behaviour::SlowReader;
+        self.read_answers(reader, &drafts, intake, slow).await;
+        drop(second);
+    }
+
+    /// The same bytes on another connection, which stays open until it is dropped.
+    async fn send_copy(&self, bytes: &[u8]) -> Option<TcpStream> {
+        let mut stream = TcpStream::connect(self.gateway.address).await.ok()?;
+        stream.write_all(bytes).await.ok()?;
+        Some(stream)
     }
 
     /// Writes in pieces; false if the connection broke before the last byte.
@@ -254,14 +292,23 @@
         true
     }
 
-    async fn read_answers(&self, mut reader: Reader<TcpStream>, drafts: &[Draft], intake: Intake) {
+    async fn read_answers(
+        &self,
+        mut reader: Reader<TcpStream>,
+        drafts: &[Draft],
+        intake: Intake,
+        slow: bool,
+    ) {
+        if slow {
+            sleep(Duration::from_millis(300)).await;
+        }
         let mut turn_at = 0.0;
         for (nth, draft) in drafts.iter().enumerate() {
             self.ledger.request(draft.id, |request| request.turn_at = turn_at);
             let wait = Duration::from_secs_f64((draft.record.patience + LONGER) / 1000.0);
             let ending = match timeout(wait, reader.message()).await {
                 Ok(Ok(answer)) => {
-                    let genuine = answer.body.starts_with(format!("{:016x} ", draft.id).as_bytes());
+                    let genuine = is_served_body(draft.id, &answer.body);
                     let closes = answer.header("connection") == Some("close");
                     let now = self.ledger.now();
                     let ending = Ending::Answer { status: answer.status(), genuine };
@@ -305,7 +352,7 @@
         let Ok(mut stream) = TcpStream::connect(self.gateway.address).await else { return };
         let (what, bytes): (&str, Vec<u8>) = match behaviour {
             Behaviour::Half => {
-                let bytes = self.draft(rng, intake, Carrier::New, false).bytes;
+                let bytes = self.draft(rng, intake, Carrier::New, behaviour).bytes;
                 ("half a request", bytes[..bytes.len() / 2].to_vec())
             }
             Behaviour::Noise => ("noise", b"\x00\x01 what is this\r\n\r\n".to_vec()),
--- a/fault-soak/src/run.rs
+++ b/fault-soak/src/run.rs
@@ -27,6 +27,8 @@
 const LIST_LAG: Duration = Duration::from_millis(700);
 /// A replaced server drains for so long before it is gone.
 const DRAIN_SPAN: Duration = Duration::from_millis(2500);
+/// Between new configurations in a row.
+const RELOAD_GAP: Duration = Duration::from_millis(60);
 /// How long a held-up process stands still, and how long until the next time.
 const HOLD: Duration = Duration::from_millis(140);
 const HOLD_GAP: Duration = Duration::from_millis(360);
@@ -259,6 +261,17 @@
             Trouble::Kill(gateways) => self.restart(&gateways, false).await,
             Trouble::Hold(gateways) => self.hold(&gateways, lasts).await,
             Trouble::Reload { unreadable } => self.reload(unreadable, lasts).await,
+            Trouble::ReloadBurst => {
+                for _ in 0..4 {
+                    self.reload(false, lasts).await;
+                    sleep(RELOAD_GAP).await;
+                }
+            }
+            Trouble::ReloadAndTerminate(gateways) => {
+                self.reload(false, lasts).await;
+                self.restart(&gateways, true).await;
+                self.restart(&gateways, true).await;
+            }
             Trouble::Replace(count) => self.replace(count).await,
             Trouble::Crash(count) => self.crash(count, lasts).await,
             Trouble::Cut(count) => {
@@ -432,6 +445,7 @@
             Misdeed::Spoil => Manners { spoil: 0.1, second: 0.2, no_length: 0.3, ..usual },
             Misdeed::Close => Manners { close: 0.6, ..usual },
             Misdeed::Slow => Manners { slow: 20.0, ..usual },
+            Misdeed::Long => Manners { big: 0.8, interim: 0.3, endless: 0.1, ..usual },
         };
         let servers = self.some_ready(count);
         servers.iter().for_each(|server| server.behave(manners));
--- a/fault-soak/src/server.rs
+++ b/fault-soak/src/server.rs
@@ -25,6 +25,12 @@
     pub reset: f64,
     /// Answers with what is no HTTP.
     pub spoil: f64,
+    /// Answers with up to 60 KB.
+    pub big: f64,
+    /// Sends an interim answer ahead.
+    pub interim: f64,
+    /// Answers without an end.
+    pub endless: f64,
     /// Sends a second answer some milliseconds behind the first.
     pub second: f64,
     /// Answers without a length and ends the connection, half of the time by a reset.
@@ -121,7 +127,12 @@
 enum Treatment {
     Hang,
     Reset,
-    Write { bytes: Vec<u8>, then: Then },
+    /// This, and more of it again and again.
+    Endless(Vec<u8>),
+    Write {
+        bytes: Vec<u8>,
+        then: Then,
+    },
 }
 
 /// What happens behind an answer.
@@ -203,7 +214,8 @@
     }
 
     fn treatment(&mut self, manners: &Manners, id: RequestId) -> (&'static str, Treatment) {
-        let body = format!("{id:016x} served by {}", self.uid);
+        let filling = if self.rng.rand_float() < manners.big { self.rng.rand_range(0..60_000) } else { 0 };
+        let body = served_body(id, &self.uid, filling as usize);
         let good = answer("200 OK", "", &body);
         let mut left = self.rng.rand_float();
         let mut falls = |chance: f64| {
@@ -219,6 +231,12 @@
             ("reset", Treatment::Reset)
         } else if falls(manners.spoil) {
             ("spoilt", write(b"HTTP/1.1 2x0 what\r\nContent-Length: -4\r\n\r\n".to_vec(), Then::KeepAlive))
+        } else if falls(manners.endless) {
+            let head = "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n";
+            ("endless", Treatment::Endless(format!("{head}{body}").into_bytes()))
+        } else if falls(manners.interim) {
+            let bytes = [b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", good.as_slice()].concat();
+            ("interim answer ahead", write(bytes, Then::KeepAlive))
         } else if falls(manners.second) {
             ("second answer", write(good, Then::Second(answer("200 OK", "", "of nobody"))))
         } else if falls(manners.no_length / 2.0) {
@@ -226,7 +244,10 @@
         } else if falls(manners.no_length / 2.0) {
             (
                 "no length, reset",
-                write(format!("HTTP/1.1 200 OK\r\n\r\n{}", &body[..20]).into_bytes(), Then::Reset),
+                write(
+                    format!("HTTP/1.1 200 OK\r\n\r\n{}", &body[..body.len() / 2]).into_bytes(),
+                    Then::Reset,
+                ),
             )
         } else if falls(manners.close) {
             ("answer, close", write(good, Then::Close))
@@ -246,6 +267,12 @@
                 let _ = reader.first_byte().await;
                 return Ok(false);
             }
+            Treatment::Endless(bytes) => {
+                while reader.stream.write_all(&bytes).await.is_ok() {
+                    sleep(Duration::from_millis(5)).await;
+                }
+                return Ok(false);
+            }
             Treatment::Reset => {
                 reset_on_close(&reader.stream);
                 return Ok(false);
@@ -276,6 +303,17 @@
     }
 }
 
+/// The body of a good answer: it begins and ends with the request's id.
+pub fn served_body(id: RequestId, server: &str, filling: usize) -> String {
+    format!("{id:016x} served by {server} {} {id:016x}", "x".repeat(filling))
+}
+
+/// Whether a body is that of a good answer to this request, from its first byte to its last.
+pub fn is_served_body(id: RequestId, body: &[u8]) -> bool {
+    let name = format!("{id:016x}");
+    body.len() > 2 * name.len() && body.starts_with(name.as_bytes()) && body.ends_with(name.as_bytes())
+}
+
 /// A length of time as `X-Deadline` tells it.
 pub fn span(text: &str) -> Option<Millis> {
     if let Some(number) = text.strip_suffix('m') {
--- /dev/null
+++ b/fault-soak/tests/oracle.rs
@@ -0,0 +1,180 @@
+//! The oracle fires: for each rule, records that break it and the same ones that keep it.
+
+use fault_soak::invariants::{check, Rule};
+use fault_soak::ledger::*;
+use fault_soak::scenario::{Scenario, Site};
+
+const ID: RequestId = 7;
+
+fn site() -> Site {
+    let mut site = Scenario::draw(1, 2, 6000.0).site;
+    (site.drain_grace, site.window) = (1000.0, 2000.0);
+    (site.cold_from, site.cold_for, site.tip_multiple, site.tip_after) = (0.2, 10_000.0, 2.0, 1000.0);
+    site
+}
+
+fn request(effect: Effect) -> RequestRecord {
+    RequestRecord {
+        id: ID,
+        gateway: 0,
+        life: 0,
+        customer: 1,
+        plan: 0,
+        effect,
+        carrier: Carrier::New,
+        sent_at: 1000.0,
+        patience: 1000.0,
+        turn_at: 0.0,
+        left_at: None,
+        ending: Some((Ending::Answer { status: 200, genuine: true }, 1100.0)),
+    }
+}
+
+fn attempt(begun_at: Millis) -> AttemptRecord {
+    AttemptRecord {
+        request: Some(ID),
+        server: "s-1".into(),
+        begun_at,
+        whole_at: Some(begun_at),
+        told: Some(500.0),
+        keyed: true,
+        ran: true,
+        over_at: Some(begun_at + 50.0),
+        treatment: "answer",
+    }
+}
+
+fn records(request: RequestRecord, attempts: Vec<AttemptRecord>) -> Records {
+    let life = Life { started: 0.0, ready: Some(20.0), terminated: None, killed: Some(9000.0), ended: None };
+    Records {
+        requests: [(ID, request)].into(),
+        attempts,
+        lives: vec![vec![life.clone()], vec![life]],
+        ..Records::default()
+    }
+}
+
+fn broken(records: &Records) -> Vec<Rule> {
+    check(&site(), records).into_iter().map(|violation| violation.rule).collect()
+}
+
+#[test]
+fn a_usual_request_breaks_nothing() {
+    for effect in [Effect::Free, Effect::Keyed, Effect::Once] {
+        assert_eq!(broken(&records(request(effect), vec![attempt(1010.0)])), []);
+    }
+}
+
+#[test]
+fn every_request_is_owed_its_answer_in_time() {
+    let endings = [
+        (Ending::Silence, 5000.0),
+        (Ending::Closed { reset: false }, 1300.0),
+        (Ending::Closed { reset: true }, 1300.0),
+        (Ending::Answer { status: 504, genuine: false }, 2700.0),
+    ];
+    for ending in endings {
+        let mut lost = request(Effect::Free);
+        lost.ending = Some(ending.clone());
+        assert_eq!(broken(&records(lost.clone(), vec![])), [Rule::Lost], "{ending:?}");
+        lost.left_at = Some(1050.0);
+        assert_eq!(broken(&records(lost, vec![])), [], "its client left");
+    }
+    let mut crossed = request(Effect::Free);
+    (crossed.carrier, crossed.ending) = (Carrier::Reused, Some((Ending::Closed { reset: true }, 1300.0)));
+    assert_eq!(broken(&records(crossed.clone(), vec![])), [], "its connection ended before it was read");
+    assert_eq!(broken(&records(crossed, vec![attempt(1010.0)])), [Rule::Lost], "it was read");
+}
+
+#[test]
+fn answers_say_what_happened() {
+    let mut foreign = request(Effect::Free);
+    foreign.ending = Some((Ending::Answer { status: 200, genuine: false }, 1100.0));
+    assert_eq!(broken(&records(foreign, vec![attempt(1010.0)])), [Rule::Foreign]);
+    let mut refused = request(Effect::Free);
+    refused.ending = Some((Ending::Answer { status: 429, genuine: false }, 1100.0));
+    assert_eq!(broken(&records(refused.clone(), vec![attempt(1010.0)])), [Rule::Refused]);
+    let turned_away = AttemptRecord { ran: false, ..attempt(1010.0) };
+    assert_eq!(broken(&records(refused, vec![turned_away])), []);
+}
+
+#[test]
+fn no_effect_happens_too_often() {
+    let twice = vec![attempt(1010.0), attempt(1500.0)];
+    assert_eq!(broken(&records(request(Effect::Once), twice.clone())), [Rule::Duplicate]);
+    assert_eq!(broken(&records(request(Effect::Keyed), twice)), []);
+    let late = vec![attempt(1010.0), AttemptRecord { told: None, ..attempt(3500.0) }];
+    assert_eq!(broken(&records(request(Effect::Keyed), late)), [Rule::Duplicate]);
+}
+
+#[test]
+fn attempts_begin_only_while_they_may() {
+    let mut left = request(Effect::Free);
+    left.left_at = Some(1100.0);
+    assert_eq!(broken(&records(left.clone(), vec![attempt(1150.0)])), []);
+    assert_eq!(broken(&records(left, vec![attempt(1300.0)])), [Rule::Leave]);
+    let generous = AttemptRecord { told: Some(1500.0), ..attempt(1010.0) };
+    assert_eq!(broken(&records(request(Effect::Free), vec![generous])), [Rule::Deadline]);
+    let mut drained = records(request(Effect::Free), vec![attempt(1600.0)]);
+    drained.told = vec![Told { gateway: 0, server: "s-1".into(), at: 700.0 }];
+    assert_eq!(broken(&drained), []);
+    drained.told[0].at = 100.0;
+    assert_eq!(broken(&drained), [Rule::Drain]);
+}
+
+#[test]
+fn what_is_sent_carries_its_id_and_its_key() {
+    let nameless = AttemptRecord { request: None, ..attempt(1010.0) };
+    assert_eq!(broken(&records(request(Effect::Free), vec![nameless])), [Rule::Malformed]);
+    let keyless = AttemptRecord { keyed: false, ..attempt(1010.0) };
+    assert_eq!(broken(&records(request(Effect::Keyed), vec![keyless])), [Rule::Malformed]);
+}
+
+#[test]
+fn cold_servers_and_ceilings_bear_only_so_much() {
+    // 2 x 0.2 x 50 a second is 20, and 20 + 3 x root of 20 + 3 is 36.4.
+    let load = |count: usize| {
+        let attempts =
+            (0..count).map(|n| AttemptRecord { ran: false, ..attempt(1010.0 + n as f64) }).collect();
+        let mut records = records(request(Effect::Free), attempts);
+        records.cold_starts = vec![ColdStart { server: "s-1".into(), at: 1000.0, capacity: 50.0 }];
+        broken(&records)
+    };
+    assert_eq!(load(36), []);
+    assert_eq!(load(45), [Rule::SlowStart]);
+    let tries = |count: u64| {
+        let mut all = records(request(Effect::Free), vec![]);
+        for id in 1..=count {
+            let record = RequestRecord { id, plan: 3, sent_at: 1000.0, ..request(Effect::Free) };
+            all.requests.insert(id, record);
+            all.attempts.push(AttemptRecord { request: Some(id), ..attempt(1010.0) });
+        }
+        broken(&all)
+    };
+    assert_eq!(tries(33), []);
+    assert_eq!(tries(40), [Rule::Ceiling]);
+}
+
+#[test]
+fn processes_start_in_time_and_end_only_when_told() {
+    let with = |change: fn(&mut Life)| {
+        let mut records = records(request(Effect::Free), vec![]);
+        change(&mut records.lives[1][0]);
+        broken(&records)
+    };
+    assert_eq!(with(|life| (life.killed, life.ended) = (None, Some((3000.0, false)))), [Rule::Process]);
+    assert_eq!(with(|life| life.ready = Some(12_000.0)), [Rule::Process]);
+    let in_order =
+        |life: &mut Life| (life.killed, life.terminated, life.ended) = (None, Some(1.0), Some((3.0, true)));
+    assert_eq!(with(in_order), []);
+}
+
+#[test]
+fn bad_clients_are_sent_away_in_time() {
+    let mut late = records(request(Effect::Free), vec![]);
+    let client = BadClient { gateway: 0, life: 0, what: "noise", began: 100.0, ended: Some(3500.0) };
+    late.bad_clients.push(client);
+    assert_eq!(broken(&late), [Rule::BadClient]);
+    late.bad_clients[0].ended = Some(2600.0);
+    assert_eq!(broken(&late), []);
+}
--- /dev/null
+++ b/tests/soak.rs
@@ -0,0 +1,26 @@
+//! The randomized fault soak at its shortest: a few seeds with few processes. More are played by its command.
+
+use fault_soak::run::{play, Setup};
+use fault_soak::scenario::Scenario;
+use fault_soak::shim;
+use std::path::PathBuf;
+
+const GATEWAYS: usize = 5;
+const SPAN_MS: f64 = 6000.0;
+
+#[test]
+fn a_few_seeds_of_overlapping_faults_break_no_rule() {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("a runtime");
+    for seed in [3, 4, 5] {
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let library = shim::build(&folder).expect("the library is built");
+        let program = PathBuf::from(env!("CARGO_BIN_EXE_brassport"));
+        let setup = Setup { program, shim: Some(library), folder };
+        let scenario = Scenario::draw(seed, GATEWAYS, SPAN_MS);
+        let report = runtime.block_on(play(scenario, &setup)).expect("the run's files are written");
+        let broken: Vec<String> = report.violations.iter().map(ToString::to_string).collect();
+        assert!(broken.is_empty(), "seed {seed}: {:#?}\n{:#?}", report.records.notes, broken);
+        assert!(report.records.requests.len() > 200, "there was a load");
+    }
+}
