--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -106,14 +106,18 @@
     }
 
     /// The servers to keep to. Guards against every gateway holding connections to every server, each used
-    /// so rarely that it costs a handshake and tells nothing: of many gateways each keeps to its own few.
+    /// so rarely that it costs a handshake and tells nothing: of many gateways each keeps to its own few. In the
+    /// order of their numbers.
     fn subset(&self, settings: &Settings, now: Millis) -> Vec<ServerId> {
         let share = GATEWAYS_A_SERVER * self.preference.len() as f64 / f64::from(settings.gateways);
         let fit = |id: &&ServerId| {
             let server = self.servers.get(id);
             server.is_some_and(|s| !Fleet::is_ejected(now, s) && Fleet::warmth(settings, now, s) >= 1.0)
         };
-        self.preference.iter().filter(fit).take(share.max(LEAST_SUBSET).ceil() as usize).copied().collect()
+        let count = share.max(LEAST_SUBSET).ceil() as usize;
+        let mut subset: Vec<ServerId> = self.preference.iter().filter(fit).take(count).copied().collect();
+        subset.sort_unstable();
+        subset
     }
 
     pub fn began(&mut self, id: ServerId, now: Millis) {
@@ -144,6 +148,10 @@
 
     /// Time taken against the fleet's mean, to which it fades: a server passed over is tried again.
     fn slowness(moment: Moment, server: &Server) -> f64 {
+        if server.slowness == 1.0 {
+            // Most servers of a large fleet are never asked from here.
+            return 1.0;
+        }
         let age = (moment.now - server.judged).max(0.0) / moment.mean_answer.max(1.0);
         1.0 + (server.slowness - 1.0) * (-age / FADE).exp()
     }
@@ -181,9 +189,11 @@
             capacity += Fleet::warmth(settings, moment.now, server);
         }
         let capacity = f64::max(capacity, ready / (COLD_MARGIN * settings.tip_multiple).max(1.0));
-        let subset = self.subset(settings, moment.now);
+        // Both are in the order of the servers' numbers.
+        let mut subset = self.subset(settings, moment.now).into_iter().peekable();
         let mut best: [Option<(f64, ServerId)>; 2] = [None, None];
         for (&id, server) in &self.servers {
+            let in_subset = subset.next_if_eq(&id).is_some();
             let same_group = match (effect, home) {
                 (Effect::Keyed { scope: Scope::Zone, .. }, Some(home)) => home.zone == server.entry.zone,
                 (Effect::Keyed { scope: Scope::Cell, .. }, Some(home)) => home.cell == server.entry.cell,
@@ -203,7 +213,7 @@
             let far = if server.entry.zone == settings.zone { 1.0 } else { FAR };
             let pace = Fleet::slowness(moment, server).max(silence / 2.0).max(LEAST_PACE);
             let wait = if drawn { 0.0 } else { (server.out.len() as f64 + 1.0) * pace };
-            let outside = if subset.contains(&id) { 1.0 } else { OUTSIDE };
+            let outside = if in_subset { 1.0 } else { OUTSIDE };
             let cost = wait * far * outside / size * (1.0 + TIE * rng.rand_float());
             let rank = &mut best[usize::from(ejected || tried(id))];
             if rank.is_none_or(|(least, _)| cost < least) {
