Trace each connection from its accept to the reason of its end

With the new lines: request 102, port 42444, was sent 11 us before the end that its gateway had sent; the rig's slow reader had looked 0.3 s later, and a client that had ended its sending was used again. Both were faults of the rig, and are mended there.

--- a/fault-soak/src/client.rs
+++ b/fault-soak/src/client.rs
@@ -12,10 +12,12 @@
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 /// A client waits so much longer than it said before it counts its request as unanswered.
 const LONGER: Millis = 2500.0;
+/// How long a slow reader leaves its answer unread.
+const SLOW_READING: Duration = Duration::from_millis(300);
 /// Connections that are kept for further requests to one gateway.
 const KEPT: usize = 12;
 /// Customers of each plan.
@@ -178,6 +180,7 @@
             plan,
             effect: class.effect,
             carrier,
+            port: 0,
             sent_at: self.ledger.now(),
             patience,
             turn_at: 0.0,
@@ -225,9 +228,10 @@
             }
         }
         let now = self.ledger.now();
+        let port = reader.stream.local_addr().map_or(0, |address| address.port());
         self.ledger.with(|records| {
             for draft in &drafts {
-                let record = RequestRecord { sent_at: now, ..draft.record.clone() };
+                let record = RequestRecord { sent_at: now, port, ..draft.record.clone() };
                 records.requests.insert(draft.id, record);
             }
         });
@@ -243,6 +247,9 @@
             let left_at = self.ledger.now();
             self.ledger.request(drafts[0].id, |request| request.left_at = Some(left_at));
             let _ = reader.stream.shutdown().await;
+            // Nothing more can be sent on it.
+            let _ = timeout(Duration::from_millis(500), reader.message()).await;
+            return;
         }
         let leave = match behaviour {
             Behaviour::Leave { after, reset } => Some((after, reset)),
@@ -300,7 +307,7 @@
         slow: bool,
     ) {
         if slow {
-            sleep(Duration::from_millis(300)).await;
+            read_late(&reader.stream).await;
         }
         let mut turn_at = 0.0;
         for (nth, draft) in drafts.iter().enumerate() {
@@ -373,6 +380,15 @@
     }
 }
 
+/// Leaves an answer unread for a while, but notices the connection's end at once.
+async fn read_late(stream: &TcpStream) {
+    let until = Instant::now() + SLOW_READING;
+    match timeout(SLOW_READING, stream.peek(&mut [0])).await {
+        Ok(Ok(count)) if count > 0 => sleep_until(until).await,
+        _ => {}
+    }
+}
+
 fn ending_of(broken: &Broken) -> Ending {
     Ending::Closed { reset: broken.is_reset() }
 }
--- a/fault-soak/src/ledger.rs
+++ b/fault-soak/src/ledger.rs
@@ -68,6 +68,8 @@
     pub effect: Effect,
     /// On what kind of connection it went out.
     pub carrier: Carrier,
+    /// The client's port, by which the gateway's trace names the connection.
+    pub port: u16,
     /// When its last byte was handed to the system.
     pub sent_at: Millis,
     /// How long its client said it would wait.
--- a/fault-soak/src/main.rs
+++ b/fault-soak/src/main.rs
@@ -34,7 +34,7 @@
     /// Violations of each seed that are printed in full.
     #[arg(long, default_value_t = 3)]
     shown: usize,
-    /// Prints the troubles of each seed.
+    /// Prints the troubles of each seed, and the requests whose connection was closed on them.
     #[arg(long)]
     troubles: bool,
 }
@@ -110,6 +110,11 @@
             println!("  {:6.0} ms {}", note.at, note.text);
         }
     }
+    if arguments.troubles {
+        let closed = records.requests.values();
+        let closed = closed.filter(|request| matches!(request.ending, Some((Ending::Closed { .. }, _))));
+        closed.for_each(|request| println!("  closed: {request:?}"));
+    }
     for violation in report.violations.iter().take(arguments.shown) {
         println!("  {violation}");
     }
--- a/fault-soak/tests/oracle.rs
+++ b/fault-soak/tests/oracle.rs
@@ -22,6 +22,7 @@
         plan: 0,
         effect,
         carrier: Carrier::New,
+        port: 0,
         sent_at: 1000.0,
         patience: 1000.0,
         turn_at: 0.0,
--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -6,6 +6,7 @@
 use crate::client_stream::{ClientStream, Connection};
 use crate::config::Names;
 use crate::door::{Answer, Door};
+use crate::log;
 use crate::socket::Socket;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
@@ -22,7 +23,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Semaphore};
 use tokio::task::JoinSet;
 use tokio::time::{interval, timeout, timeout_at, Instant, MissedTickBehavior};
@@ -137,6 +138,34 @@
 /// Serves one client's connection to its end. One that came while all others were busy gets refusals.
 async fn connection(accepted: Accepted, desk: Rc<Desk>, crowded: bool, caller: Caller) {
     let Accepted { stream, descriptor: _descriptor, waited_since } = accepted;
+    let port = stream.peer_addr().map_or(0, |address| address.port());
+    log::trace(port, || format!("connection accepted, crowded {crowded}, waited {}", waited_since.is_some()));
+    let end = serve_connection(stream, waited_since, desk, crowded, caller).await;
+    log::trace(port, || format!("connection closed: {end:?}"));
+}
+
+/// Why a connection with a client is over.
+#[derive(Debug)]
+enum End {
+    /// The client ended it, or what it sent was no HTTP.
+    ByClient,
+    /// Its last answer told that it would be closed.
+    Announced,
+    /// Nobody asked on it for too long, others need the descriptor, or the program ends.
+    Unused,
+    /// Its request did not come to its end in time.
+    HalfAsked,
+    /// Its client has had its last answer, or does not take it.
+    Answered,
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    waited_since: Option<Instant>,
+    desk: Rc<Desk>,
+    crowded: bool,
+    caller: Caller,
+) -> End {
     let _ = stream.set_nodelay(true);
     let caller = Rc::new(caller);
     let socket = Socket::new(stream);
@@ -168,13 +197,13 @@
     });
     let mut serving =
         http1::Builder::new().max_buf_size(HEAD_LIMIT).serve_connection(TokioIo::new(wire), service);
-    let ended = tokio::select! {
+    let (ended, end) = tokio::select! {
         biased;
-        ended = &mut serving => ended,
+        ended = &mut serving => (ended, End::Announced),
         dismissal = caller.dismissed(&client) => match dismissal {
-            Dismissal::Answered => return,
+            Dismissal::Answered => return End::Answered,
             // It takes nothing: what would be written now would stand in the middle of an earlier answer.
-            Dismissal::HalfAsked if client.is_write_blocked() => return,
+            Dismissal::HalfAsked if client.is_write_blocked() => return End::HalfAsked,
             Dismissal::HalfAsked => {
                 // Its last byte may come in this moment: whoever has begun to ask gets an answer.
                 caller.stage(Stage::Last);
@@ -183,21 +212,23 @@
                 if matches!(written, Ok(Ok(()))) {
                     last_words(stream, &caller, &client).await;
                 }
-                return;
+                return End::HalfAsked;
             }
             Dismissal::Unused => {
                 // Its last answer may still be on its way out.
                 std::pin::Pin::new(&mut serving).graceful_shutdown();
-                let Ok(ended) = timeout(LAST_ANSWER, &mut serving).await else { return };
-                ended
+                let Ok(ended) = timeout(LAST_ANSWER, &mut serving).await else { return End::Answered };
+                (ended, End::Unused)
             }
         }
     };
+    let end = if ended.is_err() || client.has_ended() { End::ByClient } else { end };
     // Its client has gone, or what it sent is no HTTP and was answered so; else it was closed in order.
     if ended.is_err() || caller.at() == Stage::Last {
         caller.stage(Stage::Last);
         last_words(serving.into_parts().io.into_inner(), &caller, &client).await;
     }
+    end
 }
 
 /// Keeps a connection behind its last answer until the client has it, unless others need the descriptor more.
