--- a/tests/front_door/counter.rs
+++ b/tests/front_door/counter.rs
@@ -12,20 +12,24 @@
 use std::sync::mpsc::channel;
 use std::sync::mpsc::Receiver;
 use std::thread;
+use std::time::Duration;
 
-/// A counter that answers each call with the number that the test gives, and tells it of the call.
-fn counter(totals: &'static [u32]) -> (SocketAddr, Receiver<String>) {
+/// A counter that answers each call with the number that the test gives, and tells it of the call. It ends each
+/// connection behind the last of the numbers for that one.
+fn counter(lives: &'static [&'static [u32]]) -> (SocketAddr, Receiver<String>) {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
     let address = listener.local_addr().expect("an address");
     let (sender, calls) = channel();
     thread::spawn(move || {
-        let (stream, _) = listener.accept().expect("the front door connects");
-        let mut lines = BufReader::new(&stream).lines();
-        for total in totals {
-            let Some(Ok(line)) = lines.next() else { return };
-            // A test that has ended listens no more.
-            let _ = sender.send(line);
-            (&stream).write_all(format!("ok {total}\r\n").as_bytes()).expect("the answer goes out");
+        for totals in lives {
+            let (stream, _) = listener.accept().expect("the front door connects");
+            let mut lines = BufReader::new(&stream).lines();
+            for total in *totals {
+                let Some(Ok(line)) = lines.next() else { return };
+                // A test that has ended listens no more.
+                let _ = sender.send(line);
+                (&stream).write_all(format!("ok {total}\r\n").as_bytes()).expect("the answer goes out");
+            }
         }
     });
     (address, calls)
@@ -34,7 +38,7 @@
 #[test]
 fn what_other_front_doors_have_out_counts_against_a_cap() {
     let backend = Peer::start();
-    let (address, calls) = counter(&[1, 0, 3, 2]);
+    let (address, calls) = counter(&[&[1, 0, 3, 2]]);
     let mut config = config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]));
     config["counter"] = json!(address.to_string());
     config["settings"]["balancers"] = json!(2);
@@ -59,6 +63,32 @@
     assert!(call().ends_with(" -1 8000"));
 }
 
+#[test]
+fn a_counter_that_ends_an_idle_connection_is_asked_again_at_once() {
+    let backend = Peer::start();
+    let (address, calls) = counter(&[&[1, 0], &[3, 2]]);
+    let mut config = config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]));
+    config["counter"] = json!(address.to_string());
+    config["settings"]["balancers"] = json!(2);
+    config["settings"]["plans"][0]["concurrency"] = json!(2);
+    let family = &mut config["settings"]["familyInfo"];
+    (family["counter"], family["counterTimeout"]) = (json!(true), json!(250.0));
+    let front = Front::start(&config);
+    let mut client = front.client();
+    let call = || calls.recv_timeout(PATIENCE).expect("a call");
+    let asked = || get("").replace("spread=1", "spread=2");
+    client.send(&asked());
+    call();
+    backend.next().ok("served");
+    assert_eq!(client.read().status(), 200);
+    call();
+    // The end of its connection has come by now.
+    thread::sleep(Duration::from_millis(50));
+    client.send(&asked());
+    assert!(call().ends_with(" 1 8000"));
+    assert_eq!(client.read().status(), 429, "two attempts of others are out");
+}
+
 #[test]
 fn a_counter_that_is_not_there_stops_nothing() {
     let backend = Peer::start();
