--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -75,14 +75,15 @@
             Ok(None)
         }
     };
-    let config = retry::blocking(START_PATIENCE, read);
+    let config = retry::blocking(START_PATIENCE, "reading the configuration", read);
     let config = config.map_err(|error| format!("cannot read the configuration: {error}"))?;
     config.ok_or_else(|| invalid.unwrap_or_default())
 }
 
 fn run(config: Config) -> Result<(), String> {
     let build = || tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = retry::blocking(START_PATIENCE, build).map_err(|error| format!("cannot start: {error}"))?;
+    let runtime = retry::blocking(START_PATIENCE, "starting the runtime", build)
+        .map_err(|error| format!("cannot start: {error}"))?;
     LocalSet::new().block_on(&runtime, front_door(config))
 }
 
@@ -92,9 +93,10 @@
     let descriptors = Arc::new(Semaphore::new(spare.min(Semaphore::MAX_PERMITS)));
     let take = |kind| signal(kind).map_err(|error| format!("cannot take signals: {error}"));
     let (mut terminate, hangups) = (take(SignalKind::terminate())?, take(SignalKind::hangup())?);
-    let listener = retry::within(START_PATIENCE, async || TcpListener::bind(config.listen).await)
-        .await
-        .map_err(|error| format!("cannot listen on {}: {error}", config.listen))?;
+    let listener =
+        retry::within(START_PATIENCE, "listening", async || TcpListener::bind(config.listen).await)
+            .await
+            .map_err(|error| format!("cannot listen on {}: {error}", config.listen))?;
 
     let longest = config.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
     let closing = Duration::try_from_secs_f64(longest / 1000.0).unwrap_or(CLOSING).min(CLOSING);
--- a/src/bin/brassport/retry.rs
+++ b/src/bin/brassport/retry.rs
@@ -1,5 +1,6 @@
 //! System calls that fail for a moment, because the system is out of something or a device errs, are made again.
 
+use crate::log;
 use std::io::{self, ErrorKind};
 use std::time::Duration;
 use tokio::time::{sleep, Instant};
@@ -49,6 +50,13 @@
         Pauses { next: FIRST_PAUSE }
     }
 
+    /// Logs the first failure: the tries behind it may take a while.
+    fn report(&self, what: &str, error: &io::Error) {
+        if self.next == FIRST_PAUSE {
+            log::line(format!("{what} does not work for now, trying on: {error}"));
+        }
+    }
+
     /// The next pause.
     pub fn next(&mut self) -> Duration {
         let pause = self.next;
@@ -58,22 +66,30 @@
 }
 
 /// Makes a call again until it succeeds, fails for good, or `patience` is over.
-pub async fn within<T>(patience: Duration, mut call: impl AsyncFnMut() -> io::Result<T>) -> io::Result<T> {
+pub async fn within<T>(
+    patience: Duration,
+    what: &str,
+    mut call: impl AsyncFnMut() -> io::Result<T>,
+) -> io::Result<T> {
     let (until, mut pauses) = (Instant::now() + patience, Pauses::new());
     loop {
         match call().await {
-            Err(error) if may_pass(&error) && Instant::now() < until => sleep(pauses.next()).await,
+            Err(error) if may_pass(&error) && Instant::now() < until => {
+                pauses.report(what, &error);
+                sleep(pauses.next()).await;
+            }
             result => return result,
         }
     }
 }
 
 /// The same before there is a runtime.
-pub fn blocking<T>(patience: Duration, mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+pub fn blocking<T>(patience: Duration, what: &str, mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
     let (until, mut pauses) = (std::time::Instant::now() + patience, Pauses::new());
     loop {
         match call() {
             Err(error) if may_pass(&error) && std::time::Instant::now() < until => {
+                pauses.report(what, &error);
                 std::thread::sleep(pauses.next());
             }
             result => return result,
