Ask the counter again at once when it has ended an idle connection

Seen: failing test. Ruled out: the counter (no call reached it). Change: only an end with calls out, or in the middle of an answer, is followed by a rest. Failing test off the list.

--- a/src/bin/brassport/counter.rs
+++ b/src/bin/brassport/counter.rs
@@ -81,9 +81,13 @@
             tokio::select! {
                 biased;
                 read = receive(&mut self.link, &mut self.read) => {
+                    // The counter closes what stands idle: that says nothing of the next connection.
+                    let idle = self.waiting.is_empty() && self.read.is_empty();
                     if !read || !self.take_answers(&ended) {
                         self.give_up(&ended);
-                        rest_until = Instant::now() + BACK_OFF;
+                        if !idle {
+                            rest_until = Instant::now() + BACK_OFF;
+                        }
                     }
                 }
                 () = sleep_until(next_late.unwrap_or_else(Instant::now)), if next_late.is_some() => {
