--- a/fault-soak/src/gateway.rs
+++ b/fault-soak/src/gateway.rs
@@ -41,6 +41,8 @@
     config: PathBuf,
     log: PathBuf,
     state: Mutex<Process>,
+    /// Held by whoever ends it and starts it again.
+    pub restarting: tokio::sync::Mutex<()>,
     /// The number of the life that is over last, plus one.
     ended: watch::Sender<usize>,
 }
@@ -101,6 +103,7 @@
             config: folder.join(format!("gateway-config-{index}.json")),
             log,
             state: Mutex::new(Process::default()),
+            restarting: tokio::sync::Mutex::new(()),
             ended: watch::Sender::new(0),
         })
     }
--- a/fault-soak/src/main.rs
+++ b/fault-soak/src/main.rs
@@ -3,7 +3,7 @@
 use clap::Parser;
 use fault_soak::ledger::Ending;
 use fault_soak::run::{play, Report, Setup};
-use fault_soak::scenario::Scenario;
+use fault_soak::scenario::{Scenario, TROUBLES_A_SECOND};
 use fault_soak::shim;
 use std::collections::BTreeMap;
 use std::fs;
@@ -28,6 +28,9 @@
     /// Seconds of load.
     #[arg(long, default_value_t = 12.0)]
     seconds: f64,
+    /// Troubles for each second of load.
+    #[arg(long, default_value_t = TROUBLES_A_SECOND)]
+    density: f64,
     /// The folder for configurations and logs.
     #[arg(long, default_value = "target/fault-soak")]
     folder: PathBuf,
@@ -68,7 +71,8 @@
         let folder = arguments.folder.join(format!("seed-{seed}"));
         fs::create_dir_all(&folder)?;
         let setup = Setup { program: arguments.gateway.clone(), shim: Some(shim.clone()), folder };
-        let scenario = Scenario::draw(seed, arguments.gateways, arguments.seconds * 1000.0);
+        let scenario =
+            Scenario::draw_dense(seed, arguments.gateways, arguments.seconds * 1000.0, arguments.density);
         let report = play(scenario, &setup).await?;
         print(&report, arguments);
         broken += usize::from(!report.violations.is_empty());
--- a/fault-soak/src/run.rs
+++ b/fault-soak/src/run.rs
@@ -342,8 +342,9 @@
         for gateway in gateways {
             let (world, gateway) = (self.clone(), self.gateways[*gateway].clone());
             restarts.spawn(async move {
+                // One life at a time: whoever comes while it is being restarted leaves it alone.
+                let Ok(_restarting) = gateway.restarting.try_lock() else { return };
                 if gateway.intake().is_none() {
-                    // It is being restarted already.
                     return;
                 }
                 if in_order {
--- a/fault-soak/src/scenario.rs
+++ b/fault-soak/src/scenario.rs
@@ -285,15 +285,20 @@
 }
 
 /// Of each seed, so many kinds of trouble are drawn for each second of load.
-const TROUBLES_A_SECOND: f64 = 0.8;
+pub const TROUBLES_A_SECOND: f64 = 0.8;
 /// The first of them comes no sooner.
 const QUIET_START: Millis = 1500.0;
 /// The last of them comes no later before the end of the load.
 const QUIET_END: Millis = 2000.0;
 
 impl Scenario {
-    /// Draws the scenario of a seed.
+    /// Draws the scenario of a seed, with as many troubles as is usual.
     pub fn draw(seed: u64, gateways: usize, span: Millis) -> Scenario {
+        Scenario::draw_dense(seed, gateways, span, TROUBLES_A_SECOND)
+    }
+
+    /// Draws the scenario of a seed, with so many troubles for each second of load.
+    pub fn draw_dense(seed: u64, gateways: usize, span: Millis, density: f64) -> Scenario {
         let mut dice = Dice(Rand64::new(u128::from(seed) ^ 0x5eed));
         let deadline = |dice: &mut Dice| dice.between(900.0, 3000.0).round();
         let classes = vec![
@@ -319,7 +324,7 @@
             tip_multiple: dice.between(1.6, 2.5),
             tip_after: dice.between(1000.0, 2000.0),
         };
-        let count = (span / 1000.0 * TROUBLES_A_SECOND) as usize;
+        let count = (span / 1000.0 * density) as usize;
         let mut events: Vec<Event> = (0..count)
             .map(|_| Event {
                 at: dice.between(QUIET_START, (span - QUIET_END).max(QUIET_START + 1.0)),
