--- a/fault-soak/src/client.rs
+++ b/fault-soak/src/client.rs
@@ -181,6 +181,7 @@
             effect: class.effect,
             carrier,
             port: 0,
+            copied: behaviour == Behaviour::Twice,
             sent_at: self.ledger.now(),
             patience,
             turn_at: 0.0,
--- a/fault-soak/src/gateway.rs
+++ b/fault-soak/src/gateway.rs
@@ -24,6 +24,8 @@
 /// The longest deadline that counts for when SIGKILL comes, and how much later than that it comes.
 const LONGEST_COUNTED: Millis = 3000.0;
 const KILL_AFTER: Millis = 700.0;
+/// After it was held up it runs at least this long.
+const HOLD_GAP: Duration = Duration::from_millis(300);
 /// A gateway that is not ready by then is given up.
 const READY_WITHIN: Duration = Duration::from_secs(30);
 
@@ -43,6 +45,8 @@
     state: Mutex<Process>,
     /// Held by whoever ends it and starts it again.
     pub restarting: tokio::sync::Mutex<()>,
+    /// Held by whoever has stopped it.
+    holding: tokio::sync::Mutex<()>,
     /// The number of the life that is over last, plus one.
     ended: watch::Sender<usize>,
 }
@@ -104,6 +108,7 @@
             log,
             state: Mutex::new(Process::default()),
             restarting: tokio::sync::Mutex::new(()),
+            holding: tokio::sync::Mutex::new(()),
             ended: watch::Sender::new(0),
         })
     }
@@ -234,11 +239,13 @@
         }
     }
 
-    /// Stops the process and lets it go on.
+    /// Stops the process and lets it go on. It is held up by one trouble at a time: no rule bears more.
     pub async fn hold(&self, span: Duration) {
+        let Ok(_holding) = self.holding.try_lock() else { return };
         self.signal(Signal::STOP);
         sleep(span).await;
         self.signal(Signal::CONT);
+        sleep(HOLD_GAP).await;
     }
 
     fn running_life(&self) -> Option<usize> {
--- a/fault-soak/src/ledger.rs
+++ b/fault-soak/src/ledger.rs
@@ -70,6 +70,8 @@
     pub carrier: Carrier,
     /// The client's port, by which the gateway's trace names the connection.
     pub port: u16,
+    /// Whether its client sent the same bytes on a second connection: the two are judged apart by the gateway.
+    pub copied: bool,
     /// When its last byte was handed to the system.
     pub sent_at: Millis,
     /// How long its client said it would wait.
--- a/fault-soak/src/run.rs
+++ b/fault-soak/src/run.rs
@@ -29,9 +29,9 @@
 const DRAIN_SPAN: Duration = Duration::from_millis(2500);
 /// Between new configurations in a row.
 const RELOAD_GAP: Duration = Duration::from_millis(60);
-/// How long a held-up process stands still, and how long until the next time.
+/// How long a held-up process stands still, and from one such time to the next.
 const HOLD: Duration = Duration::from_millis(140);
-const HOLD_GAP: Duration = Duration::from_millis(360);
+const HOLD_PERIOD: Duration = Duration::from_millis(500);
 
 /// Where a run finds what it starts and leaves its files.
 #[derive(Debug, Clone)]
@@ -359,7 +359,7 @@
     }
 
     async fn hold(&self, gateways: &[usize], lasts: Duration) {
-        let rounds = lasts.as_millis() / (HOLD + HOLD_GAP).as_millis();
+        let rounds = lasts.as_millis() / HOLD_PERIOD.as_millis();
         for _ in 0..rounds.max(1) {
             let held = gateways.iter().map(|gateway| self.gateways[*gateway].clone());
             let mut holds = tokio::task::JoinSet::new();
@@ -367,7 +367,7 @@
                 holds.spawn(async move { gateway.hold(HOLD).await });
             });
             while holds.join_next().await.is_some() {}
-            sleep(HOLD_GAP).await;
+            sleep(HOLD_PERIOD / 8).await;
         }
     }
 
--- a/fault-soak/tests/oracle.rs
+++ b/fault-soak/tests/oracle.rs
@@ -23,6 +23,7 @@
         effect,
         carrier: Carrier::New,
         port: 0,
+        copied: false,
         sent_at: 1000.0,
         patience: 1000.0,
         turn_at: 0.0,
