--- a/tests/front_door/clients.rs
+++ b/tests/front_door/clients.rs
@@ -213,6 +213,24 @@
     stayed[0].expect_close();
 }
 
+#[test]
+fn idle_connections_give_way_where_the_system_allows_fewer_descriptors_than_the_settings() {
+    let backend = Peer::start();
+    let config = config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]));
+    let file = write_config(&config);
+    let child = spawn_with_descriptors(100, &file, &config);
+    let front = Front::listening(child, &config, file);
+    let _served = answer_all(backend);
+    let mut idle = Vec::new();
+    for _ in 0..120 {
+        let asked = Instant::now();
+        let mut client = front.client();
+        assert_eq!(client.send(&get("")).read().status(), 200);
+        assert!(asked.elapsed() < Duration::from_millis(2000), "client {} waited", idle.len());
+        idle.push(client);
+    }
+}
+
 #[test]
 fn of_many_connections_those_that_asked_once_are_soon_closed() {
     let backend = Peer::start();
--- a/tests/front_door/peers.rs
+++ b/tests/front_door/peers.rs
@@ -334,6 +334,17 @@
     command
 }
 
+/// Starts the program with room for so many descriptors.
+pub fn spawn_with_descriptors(most: u32, file: &Path, config: &Value) -> Child {
+    let program = command(file, config);
+    let mut shell = Command::new("sh");
+    shell.arg("-c").arg(format!("ulimit -n {most}; exec \"$0\"")).arg(program.get_program());
+    for (name, value) in program.get_envs() {
+        shell.env(name, value.expect("it is set"));
+    }
+    shell.spawn().expect("the program starts")
+}
+
 /// Makes the program's system calls fail.
 pub struct Faulty {
     pub control: Control,
