--- a/tests/front_door/system_calls.rs
+++ b/tests/front_door/system_calls.rs
@@ -4,7 +4,7 @@
 use fault_soak::shim::Faults;
 use serde_json::json;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 #[test]
 fn interrupted_reads_and_writes_lose_no_request() {
@@ -115,3 +115,18 @@
     let _served = answer_all(backend);
     assert_eq!(client.read().status(), 200);
 }
+
+#[test]
+fn who_waited_to_be_accepted_and_does_not_ask_is_sent_away_no_later() {
+    let faulty = Faulty::new();
+    let front = faulty.start(&config(closed_port(), list(&[target("s-00000001", closed_port(), "ready")])));
+    faulty.control.set(Faults { accept_fails: 1.0, ..Faults::default() });
+    let came = Instant::now();
+    let (mut silent, mut half) = (front.client(), front.client());
+    half.send("GET /preview-fetch HTTP/1.1\r\n");
+    stall_accepts(&faulty, Duration::from_millis(1500));
+    silent.expect_close();
+    assert_eq!(half.read().status(), 408);
+    // 3 s are owed from the connect on; the rest is for a slow machine.
+    assert!(came.elapsed() < Duration::from_millis(3700), "it took {:?}", came.elapsed());
+}
