Count the wait in the backlog into the time that a client has to ask

Cause: callers.rs began the 2.5 s at the accept. Change: up to 2 s of the wait in the backlog count; 0.5 s stay to read what came meanwhile.

--- a/src/bin/brassport/callers.rs
+++ b/src/bin/brassport/callers.rs
@@ -11,6 +11,8 @@
 /// How long all of a request may take to come, from the connection's start or its own first byte: a client
 /// that has not asked by then is owed an end within 3 s.
 const ASKING: Duration = Duration::from_millis(2500);
+/// Most of that which goes by before the connection is accepted: what came meanwhile has yet to be read.
+const MOST_WAIT: Duration = Duration::from_millis(2000);
 /// How long a connection may stand idle behind an answer, what is long when there are many or room is short,
 /// and how long it may in any case: its client may not have got all of the answer yet.
 const IDLE: Duration = Duration::from_secs(10);
@@ -92,12 +94,15 @@
 }
 
 impl Callers {
-    pub fn enter(self: &Rc<Self>) -> Caller {
+    /// Enters a connection that was accepted now and may have waited for that since some time.
+    pub fn enter(self: &Rc<Self>, waited_since: Option<Instant>) -> Caller {
+        let now = Instant::now();
+        let earliest = now.checked_sub(MOST_WAIT).unwrap_or(now);
         let number = self.last.get() + 1;
         self.last.set(number);
         let state = Rc::new(State {
             stage: Cell::new(Stage::New),
-            since: Cell::new(Instant::now()),
+            since: Cell::new(waited_since.map_or(now, |since| since.max(earliest))),
             asked: Cell::new(0),
             begun: Cell::new(false),
             left: Cell::new(Stage::New),
--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -118,7 +118,7 @@
             accepted = acceptor.accept() => {
                 empty_before = false;
                 let crowded = !spare(reserve);
-                let caller = callers.enter();
+                let caller = callers.enter(accepted.waited_since);
                 connections.spawn_local(connection(accepted, desk.clone(), crowded, caller));
             }
             _ = sweeps.tick() => {
