--- a/tests/front_door/clients.rs
+++ b/tests/front_door/clients.rs
@@ -165,11 +165,18 @@
         ("X-Request-Id: ", "X-Request-Id: a b"),
         ("X-Request-Id: ", "X-Request-Id: x\r\nX-Request-Id: "),
         ("Plan: starter", "Plan: starter\r\nPlan: starter"),
+        ("Host: backend.local", "Host: backend.local\r\nHost: other.local"),
+        // A server that reads no body of a GET would take it for a request of its own.
+        ("Host: backend.local", "Host: backend.local\r\nContent-Length: 4"),
         ("client=00000000b4d65521", "client=00000000b4d65521; client=00000000b4d65522"),
     ];
     for (right, wrong) in spoilt {
         assert!(good.contains(right));
-        assert_eq!(front.client().send(&good.replace(right, wrong)).read().status(), 400, "{wrong:?}");
+        assert_eq!(
+            front.client().send(&(good.replace(right, wrong) + "GET ")).read().status(),
+            400,
+            "{wrong:?}"
+        );
     }
     let long = "x".repeat(64 * 1024);
     assert_eq!(front.client().send(&post(&format!("{long}x"))).read().status(), 413);
