--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -263,6 +263,10 @@
     let length = body.size_hint().upper().and_then(|length| usize::try_from(length).ok());
     let length = length.filter(|length| *length <= BODY_LIMIT);
     let length = length.ok_or_else(|| text(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"))?;
+    // Guards against a request hidden in it: a server that reads no body of a GET would take it for the next one.
+    if length > 0 && head.method == Method::GET {
+        return Err(text(StatusCode::BAD_REQUEST, "a GET has no body"));
+    }
     let room = desk.bodies.try_acquire_many(length as u32);
     let _room = room.map_err(|_| refusal(desk.settings.max_retry_after))?;
     let mut phase = desk.phase.clone();
@@ -352,7 +356,7 @@
 /// Guards against malformed input: what does not make sense goes no further.
 fn check(head: &Parts, desk: &Desk) -> Result<Asked, &'static str> {
     // Guards against headers that contradict each other: whoever reads on might go by the other one.
-    if OURS.iter().any(|name| head.headers.get_all(*name).iter().nth(1).is_some()) {
+    if OURS.iter().chain(&["host"]).any(|name| head.headers.get_all(*name).iter().nth(1).is_some()) {
         return Err("a header stands there twice");
     }
     // Guards against a request that loses its id or its key on the way: what Connection names is passed on to
