--- a/tests/front_door/backends.rs
+++ b/tests/front_door/backends.rs
@@ -197,3 +197,18 @@
     assert_eq!(String::from_utf8_lossy(&stuck.open()), "");
     assert_eq!(client.read().status(), 504, "it may have run, and is not sent again");
 }
+
+#[test]
+fn what_a_backend_finds_fault_with_is_sent_to_no_other() {
+    let backends = [Peer::start(), Peer::start()];
+    let front = Front::before(&[backends[0].address, backends[1].address]);
+    for status in ["400 Bad Request", "404 Not Found", "413 Payload Too Large"] {
+        let mut client = front.client();
+        client.send(&get("/odd"));
+        let (exchange, _) = next_of(&backends);
+        exchange.answer(status, "", "");
+        assert_eq!(client.read().status(), 504);
+        let sent_again = backends.iter().any(|backend| backend.exchanges.try_recv().is_ok());
+        assert!(!sent_again, "{status} was sent again");
+    }
+}
