Hold an answer 4xx against the request, not against its server

Cause: backends.rs took every status but 200, 503 and 504 for the server's error. Change: Outcome::Rejected: the request has failed, is not sent again, and says nothing of the server but that it answers.

--- a/src/bin/brassport/backends.rs
+++ b/src/bin/brassport/backends.rs
@@ -278,6 +278,8 @@
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => {
             End { outcome: Outcome::Full, used, answer: None }
         }
+        // Guards the backends' standing against one client's odd requests.
+        status if status.is_client_error() => End { outcome: Outcome::Rejected, used, answer: None },
         // Anything else may have run.
         _ => End { outcome: Outcome::Error, used, answer: None },
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -691,7 +691,7 @@
                 self.call_off(end.request, actions);
             }
         } else if !out {
-            let again = self.may_try_again(open);
+            let again = end.outcome != Outcome::Rejected && self.may_try_again(open);
             if !(again && self.further(end.request, actions)) {
                 self.give_up(end.request, actions);
             }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -250,6 +250,7 @@
             }
             Outcome::Cancelled => server.slowness += SAMPLE * (pace - server.slowness),
             Outcome::Moot => {}
+            Outcome::Rejected => server.answered = moment.now,
             // Each failure weighs as a very slow answer, and some in a row eject the server. Hurts if the
             // fault is the request's.
             _ => {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -290,6 +290,8 @@
     Ok,
     /// The server returned an error; it may have run.
     Error,
+    /// The server found fault with the request itself; another one would too.
+    Rejected,
     /// Turned away unseen.
     Full,
     /// No answer in time; it may have run, or run still.
