Take up to eight failed accepts in a row for momentary, and accept again at once

Cause: acceptor.rs paused 1 to 16 ms behind each failure of the system, so that about 200 connections a second came in. Change: only behind eight failures in a row is there a pause.

--- a/src/bin/brassport/acceptor.rs
+++ b/src/bin/brassport/acceptor.rs
@@ -2,7 +2,7 @@
 
 use std::cell::Cell;
 use std::future::poll_fn;
-use std::io::{self, ErrorKind};
+use std::io;
 use std::sync::Arc;
 use std::task::Poll;
 use std::time::Duration;
@@ -11,8 +11,9 @@
 use tokio::task::yield_now;
 use tokio::time::{sleep, Instant};
 
-/// After a failed accept: at first, and at the most. Where the system is out of something it is soon asked again,
-/// as what waits meanwhile loses time, but not without a pause.
+/// Failures in a row that are taken for momentary: the next accept follows at once, as all that wait lose time.
+const MOMENTARY: u32 = 8;
+/// Behind more of them the system is out of something: at first, and at the most, it is left alone for so long.
 const FIRST_BACK_OFF: Duration = Duration::from_millis(1);
 const LAST_BACK_OFF: Duration = Duration::from_millis(16);
 
@@ -31,13 +32,13 @@
     descriptors: Arc<Semaphore>,
     /// Since when connections could not be accepted, until the queue is seen empty.
     stalled_since: Cell<Option<Instant>>,
-    back_off: Cell<Duration>,
+    /// Failures since the last connection.
+    failures: Cell<u32>,
 }
 
 impl Acceptor {
     pub fn new(listener: TcpListener, descriptors: Arc<Semaphore>) -> Acceptor {
-        let back_off = Cell::new(FIRST_BACK_OFF);
-        Acceptor { listener, descriptors, stalled_since: Cell::new(None), back_off }
+        Acceptor { listener, descriptors, stalled_since: Cell::new(None), failures: Cell::new(0) }
     }
 
     /// Whether connections may be waiting that could not be accepted.
@@ -55,19 +56,16 @@
             let descriptor = self.descriptor().await;
             match poll_fn(|context| self.poll_accept(context)).await {
                 Ok(stream) => {
-                    self.back_off.set(FIRST_BACK_OFF);
+                    self.failures.set(0);
                     return Accepted { stream, descriptor, waited_since: self.stalled_since.get() };
                 }
-                // One connection that broke, or a signal: the next one may be there already.
-                Err(error) if concerns_one(&error) => {
-                    self.stall();
-                    yield_now().await;
-                }
                 Err(_) => {
                     self.stall();
-                    let pause = self.back_off.get();
-                    self.back_off.set((2 * pause).min(LAST_BACK_OFF));
-                    sleep(pause).await;
+                    self.failures.set(self.failures.get().saturating_add(1));
+                    match back_off(self.failures.get()) {
+                        Some(pause) => sleep(pause).await,
+                        None => yield_now().await,
+                    }
                 }
             }
         }
@@ -94,6 +92,22 @@
     }
 }
 
-fn concerns_one(error: &io::Error) -> bool {
-    matches!(error.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted)
+/// How long the system is left alone behind so many failures in a row.
+fn back_off(failures: u32) -> Option<Duration> {
+    let doublings = failures.checked_sub(MOMENTARY + 1)?;
+    Some((FIRST_BACK_OFF * 2u32.saturating_pow(doublings.min(16))).min(LAST_BACK_OFF))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn some_failures_in_a_row_cost_no_time_and_more_of_them_little() {
+        assert_eq!((1..=MOMENTARY).find_map(back_off), None);
+        let pauses: Vec<u128> =
+            (MOMENTARY + 1..MOMENTARY + 8).filter_map(back_off).map(|pause| pause.as_millis()).collect();
+        assert_eq!(pauses, [1, 2, 4, 8, 16, 16, 16]);
+        assert_eq!(back_off(u32::MAX), Some(LAST_BACK_OFF));
+    }
 }
