--- a/tests/front_door/clocks.rs
+++ b/tests/front_door/clocks.rs
@@ -49,3 +49,24 @@
     let part = part_of_a_server_started_after(HOUR, Duration::from_secs(1), Duration::from_secs(2));
     assert!(part > 0.35, "a warm server got {part:.2} of the requests");
 }
+
+#[test]
+fn a_server_that_started_before_a_step_is_cold_to_a_process_that_starts_behind_it() {
+    let (old, new) = (Peer::start(), Peer::start());
+    let mut started: Value = target("s-00000002", new.address, "ready");
+    started["boot_ms"] = json!(unix_ms());
+    let known = list(&[target("s-00000001", old.address, "ready"), started]);
+    let mut config = config(closed_port(), known);
+    config["settings"]["rules"]["cold"] = json!(60_000.0);
+    let faulty = Faulty::new();
+    faulty.control.set(Faults { wall_clock_offset: HOUR, ..Faults::default() });
+    let front = faulty.start(&config);
+    let (old, new) = (answer_all(old), answer_all(new));
+    let mut client = front.client();
+    for _ in 0..200 {
+        assert_eq!(client.send(&get("")).read().status(), 200);
+    }
+    let (old, new) = (old.load(Ordering::Relaxed), new.load(Ordering::Relaxed));
+    let part = f64::from(new) / f64::from(old + new);
+    assert!(part < 0.35, "a server at a quarter of its capacity got {part:.2} of the requests");
+}
