--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -308,7 +308,12 @@
                     self.clone().attempt(request, number, server, hand.message.clone(), times, cancelled);
                 tokio::task::spawn_local(attempt);
             }
-            Action::Refuse { request, retry_after } => inner.answer(request, Answer::Refused(retry_after)),
+            Action::Refuse { request, retry_after, reason } => {
+                if let Some(hand) = inner.requests.get(&request) {
+                    log::trace(&hand.name, || format!("refused: {reason:?}"));
+                }
+                inner.answer(request, Answer::Refused(retry_after));
+            }
             Action::Fail(request) => inner.answer(request, Answer::Failed),
             Action::Cancel { request, attempt } => {
                 let hand = inner.requests.get_mut(&request);
--- a/src/control.rs
+++ b/src/control.rs
@@ -260,7 +260,7 @@
         actions.push(Action::Timer { at, token: (request.id << 2) + DEADLINE });
         let known = request.class < self.settings.classes.len() && request.plan < self.settings.plans.len();
         if !known || !request.units.is_finite() || request.units < 0.0 {
-            self.refuse(request.id, 0.0, actions);
+            self.refuse(request.id, 0.0, Refusal::Malformed, actions);
             return;
         }
         self.sweep(actions);
@@ -315,10 +315,10 @@
             let (period, rate) = (self.settings.meter_period, self.settings.plans[request.plan].rate);
             let usual = if period > 0.0 { COME_BACK * period } else { 1000.0 / rate };
             let wait = usual * (0.5 + self.rng.rand_float());
-            self.refuse(request.id, wait, actions);
+            self.refuse(request.id, wait, Refusal::Quota, actions);
         } else if coin >= room * late {
             self.no_room += 1;
-            self.refuse(request.id, self.settings.max_retry_after, actions);
+            self.refuse(request.id, self.settings.max_retry_after, Refusal::Room, actions);
         } else {
             self.dispatch(request.id, actions);
         }
@@ -555,7 +555,7 @@
             }
             Told::Places(Some(taken)) if taken > f64::from(self.settings.plans[request.plan].open) => {
                 let wait = self.mean_answer() * (0.5 + self.rng.rand_float());
-                self.refuse(id, wait, actions);
+                self.refuse(id, wait, Refusal::Places, actions);
             }
             Told::Places(_) => self.send_first(id, actions),
         }
@@ -567,10 +567,10 @@
         match self.choose(id) {
             None => {
                 self.no_server += 1;
-                self.refuse(id, self.settings.max_retry_after, actions);
+                self.refuse(id, self.settings.max_retry_after, Refusal::NoServer, actions);
             }
             Some(_) if !self.under_ceiling(&request) => {
-                self.refuse(id, self.settings.max_retry_after, actions)
+                self.refuse(id, self.settings.max_retry_after, Refusal::Ceiling, actions)
             }
             Some(server) => {
                 if let Some(customer) = self.customers.get_mut(&request.customer).filter(|_| plan.rate > 0.0)
@@ -631,7 +631,7 @@
         let open = &self.requests[&id];
         if open.held {
             if self.now >= open.arrived + USEFUL * self.settings.classes[open.request.class].aim {
-                self.refuse(id, self.settings.max_retry_after, actions);
+                self.refuse(id, self.settings.max_retry_after, Refusal::HeldTooLong, actions);
             }
             return;
         }
@@ -706,7 +706,7 @@
     fn give_up(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.requests.get(&id).filter(|open| !open.done) else { return };
         if open.attempts.iter().all(|attempt| !attempt.may_have_run) {
-            self.refuse(id, 0.0, actions);
+            self.refuse(id, 0.0, Refusal::NothingRan, actions);
         } else {
             actions.push(Action::Fail(id));
             self.call_off(id, actions);
@@ -720,9 +720,9 @@
         actions.extend(cancels.filter(|_| self.settings.may_cancel));
     }
 
-    fn refuse(&mut self, id: RequestId, wait: Millis, actions: &mut Vec<Action>) {
+    fn refuse(&mut self, id: RequestId, wait: Millis, reason: Refusal, actions: &mut Vec<Action>) {
         let retry_after = wait.clamp(0.0, self.settings.max_retry_after);
-        actions.push(Action::Refuse { request: id, retry_after });
+        actions.push(Action::Refuse { request: id, retry_after, reason });
         self.close(id);
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -375,6 +375,27 @@
     },
 }
 
+/// Why a request is refused. It is for the log alone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// It names a class, a plan or units that there are not.
+    Malformed,
+    /// The coin of its customer's quota fell so.
+    Quota,
+    /// The servers have no room for it.
+    Room,
+    /// As many of its customer's attempts are out as may be.
+    Places,
+    /// It waited too long for one of those to end.
+    HeldTooLong,
+    /// Its plan's ceiling is reached.
+    Ceiling,
+    /// No server may be sent to.
+    NoServer,
+    /// Its attempts came to nothing, and none of them ran.
+    NothingRan,
+}
+
 /// What a gateway asks of its host.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
@@ -396,6 +417,8 @@
         request: RequestId,
         /// How long the client ought to wait; 0: no advice.
         retry_after: Millis,
+        /// Why.
+        reason: Refusal,
     },
     /// Final answer: failed; nothing is promised.
     Fail(RequestId),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -373,7 +373,7 @@
                 out.extend(server.to_be_bytes());
                 out.extend(expire_at.unwrap_or(0.0).to_be_bytes());
             }),
-            Action::Refuse { request, retry_after } => self.record(83, instance, |out| {
+            Action::Refuse { request, retry_after, .. } => self.record(83, instance, |out| {
                 out.extend(request.to_be_bytes());
                 out.extend(retry_after.to_be_bytes());
             }),
--- a/tests/places.rs
+++ b/tests/places.rs
@@ -87,7 +87,7 @@
     world.ask(1, 1);
     let (id, actions) = world.ask(2, 1);
     let wait = actions.iter().find_map(|action| match action {
-        Action::Refuse { request, retry_after } if *request == id => Some(*retry_after),
+        Action::Refuse { request, retry_after, .. } if *request == id => Some(*retry_after),
         _ => None,
     });
     assert!(wait.is_some_and(|wait| wait > 0.0), "{actions:?}");
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -229,7 +229,7 @@
     let mut reply = Reply::default();
     reply.push(3, &Action::Send { request: 9, server: 7, expire_at: Some(2.0), start_by: f64::INFINITY });
     reply.push(3, &Action::Timer { at: 4.0, token: 11 });
-    reply.push(3, &Action::Refuse { request: 9, retry_after: 8.0 });
+    reply.push(3, &Action::Refuse { request: 9, retry_after: 8.0, reason: Refusal::Quota });
     reply.push(3, &Action::Fail(9));
     reply.push(3, &Action::Cancel { request: 9, attempt: 1 });
     reply.push(3, &Action::FollowServers);
