--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -106,8 +106,8 @@
     }
 
     /// The servers to keep to. Guards against every gateway holding connections to every server, each used
-    /// so rarely that it costs a handshake and tells nothing: of many gateways each keeps to its own few. In the
-    /// order of their numbers.
+    /// so rarely that it costs a handshake and tells nothing: of many gateways each keeps to its own few.
+    /// They come in the order of their numbers.
     fn subset(&self, settings: &Settings, now: Millis) -> Vec<ServerId> {
         let share = GATEWAYS_A_SERVER * self.preference.len() as f64 / f64::from(settings.gateways);
         let fit = |id: &&ServerId| {
