Tests: keep closed ports bound, read one message at a time, one configuration with a cap

What the reading showed is mended: closed_port() gave the port back, so that a peer of another test could get it and be taken for this front door's discovery, with another list; it stays bound now. The three tests with a shared cap have one configuration. No assertion changes.

--- a/tests/front_door/clients.rs
+++ b/tests/front_door/clients.rs
@@ -100,13 +100,8 @@
 #[test]
 fn nothing_is_sent_for_a_client_that_has_gone_while_the_counter_was_asked() {
     let (backend, counter) = (Peer::start(), TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port"));
-    let mut config = config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]));
-    config["counter"] = json!(counter.local_addr().expect("an address").to_string());
-    config["settings"]["balancers"] = json!(2);
-    config["settings"]["plans"][0]["concurrency"] = json!(2);
-    let family = &mut config["settings"]["familyInfo"];
-    (family["counter"], family["counterTimeout"]) = (json!(true), json!(250.0));
-    let front = Front::start(&config);
+    let address = counter.local_addr().expect("an address");
+    let front = Front::start(&capped_config(backend.address, address));
     let mut gone = front.client();
     gone.send(&post("gone").replace("spread=1", "spread=2"));
     let (line, _) = counter.accept().expect("the front door asks");
--- a/tests/front_door/counter.rs
+++ b/tests/front_door/counter.rs
@@ -39,13 +39,7 @@
 fn what_other_front_doors_have_out_counts_against_a_cap() {
     let backend = Peer::start();
     let (address, calls) = counter(&[&[1, 0, 3, 2]]);
-    let mut config = config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]));
-    config["counter"] = json!(address.to_string());
-    config["settings"]["balancers"] = json!(2);
-    config["settings"]["plans"][0]["concurrency"] = json!(2);
-    let family = &mut config["settings"]["familyInfo"];
-    (family["counter"], family["counterTimeout"]) = (json!(true), json!(250.0));
-    let front = Front::start(&config);
+    let front = Front::start(&capped_config(backend.address, address));
     let mut client = front.client();
     let call = || calls.recv_timeout(PATIENCE).expect("a call");
     let asked = get("").replace("spread=1", "spread=2");
@@ -67,13 +61,7 @@
 fn a_counter_that_ends_an_idle_connection_is_asked_again_at_once() {
     let backend = Peer::start();
     let (address, calls) = counter(&[&[1, 0], &[3, 2]]);
-    let mut config = config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]));
-    config["counter"] = json!(address.to_string());
-    config["settings"]["balancers"] = json!(2);
-    config["settings"]["plans"][0]["concurrency"] = json!(2);
-    let family = &mut config["settings"]["familyInfo"];
-    (family["counter"], family["counterTimeout"]) = (json!(true), json!(250.0));
-    let front = Front::start(&config);
+    let front = Front::start(&capped_config(backend.address, address));
     let mut client = front.client();
     let call = || calls.recv_timeout(PATIENCE).expect("a call");
     let asked = || get("").replace("spread=1", "spread=2");
--- a/tests/front_door/peers.rs
+++ b/tests/front_door/peers.rs
@@ -34,7 +34,8 @@
 
 /// `None` when the other side has closed between two messages.
 pub fn read_message(stream: &TcpStream) -> io::Result<Option<Message>> {
-    let mut reader = BufReader::new(stream);
+    // One byte at a time: what is read ahead of this message would be lost with the reader.
+    let mut reader = BufReader::with_capacity(1, stream);
     let mut line = String::new();
     if reader.read_line(&mut line)? == 0 {
         return Ok(None);
@@ -178,9 +179,14 @@
     json!({"rev": 1, "all": true, "targets": targets})
 }
 
-/// An address where nothing listens.
+/// An address where nothing listens, as long as the tests run.
 pub fn closed_port() -> SocketAddr {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).and_then(|listener| listener.local_addr()).expect("a port")
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into()).expect("a port");
+    let address = socket.local_addr().expect("an address").as_socket().expect("one of IPv4");
+    // It stays bound: a peer of another test that got the port would be taken for this one's discovery.
+    std::mem::forget(socket);
+    address
 }
 
 /// A backend to which connections come up only once `open` is called: its backlog is full.
@@ -253,6 +259,17 @@
     })
 }
 
+/// The same with a plan whose cap two front doors share over a counter.
+pub fn capped_config(backend: SocketAddr, counter: SocketAddr) -> Value {
+    let mut config = config(closed_port(), list(&[target("s-00000001", backend, "ready")]));
+    config["counter"] = json!(counter.to_string());
+    config["settings"]["balancers"] = json!(2);
+    config["settings"]["plans"][0]["concurrency"] = json!(2);
+    let family = &mut config["settings"]["familyInfo"];
+    (family["counter"], family["counterTimeout"]) = (json!(true), json!(250.0));
+    config
+}
+
 /// The program. It is killed when the test ends.
 pub struct Front {
     pub child: Child,
