--- a/fault-soak/src/counter.rs
+++ b/fault-soak/src/counter.rs
@@ -39,7 +39,6 @@
     /// Where it listens.
     pub address: SocketAddr,
     mood: Arc<Mutex<Mood>>,
-    numbers: Arc<Mutex<HashMap<String, Number>>>,
 }
 
 impl Counter {
@@ -47,25 +46,20 @@
     pub async fn start() -> Counter {
         let listener = TcpListener::bind((Ipv4Addr::new(127, 88, 0, 3), 0)).await.expect("a free port");
         let address = listener.local_addr().expect("a bound socket has an address");
-        let (mood, numbers) = (Arc::new(Mutex::new(Mood::Usual)), Arc::default());
-        let (seen, kept) = (Arc::clone(&mood), Arc::clone(&numbers));
+        let mood = Arc::new(Mutex::new(Mood::Usual));
+        let (seen, numbers) = (mood.clone(), Arc::default());
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, Arc::clone(&seen), Arc::clone(&kept)));
+                tokio::spawn(serve(stream, Arc::clone(&seen), Arc::clone(&numbers)));
             }
         });
-        Counter { address, mood, numbers }
+        Counter { address, mood }
     }
 
     /// Changes what it does from the next call on.
     pub fn behave(&self, mood: Mood) {
         *self.mood.lock().expect("no one panics while holding it") = mood;
     }
-
-    /// How many names it keeps.
-    pub fn names(&self) -> usize {
-        self.numbers.lock().expect("no one panics while holding it").len()
-    }
 }
 
 async fn serve(stream: TcpStream, mood: Arc<Mutex<Mood>>, numbers: Arc<Mutex<HashMap<String, Number>>>) {
--- a/fault-soak/src/http.rs
+++ b/fault-soak/src/http.rs
@@ -44,11 +44,8 @@
 /// What stood in the way of a whole message.
 #[derive(Debug)]
 pub enum Broken {
-    /// The stream ended in order; whether in the middle of a message.
-    End {
-        /// Some of a message had come.
-        partial: bool,
-    },
+    /// The stream ended in order.
+    End,
     /// The stream failed.
     Failed(io::Error),
     /// What came is no message.
@@ -70,7 +67,7 @@
 
     async fn fill(&mut self) -> Result<(), Broken> {
         match self.stream.read_buf(&mut self.buffer).await {
-            Ok(0) => Err(Broken::End { partial: !self.buffer.is_empty() }),
+            Ok(0) => Err(Broken::End),
             Ok(_) => Ok(()),
             Err(error) => Err(Broken::Failed(error)),
         }
--- a/fault-soak/src/ledger.rs
+++ b/fault-soak/src/ledger.rs
@@ -243,9 +243,4 @@
     pub fn request(&self, id: RequestId, change: impl FnOnce(&mut RequestRecord)) {
         self.with(|records| records.requests.get_mut(&id).map(change));
     }
-
-    /// Hands the records over.
-    pub fn into_records(self) -> Records {
-        self.records.into_inner().expect("no stand-in panics while it holds the log")
-    }
 }
--- a/fault-soak/src/run.rs
+++ b/fault-soak/src/run.rs
@@ -17,7 +17,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use std::{fs, io};
-use tokio::time::{sleep, timeout};
+use tokio::time::{interval, sleep, timeout};
 
 /// The rig's own timer is looked at this often.
 const LATENESS_PERIOD: Duration = Duration::from_millis(10);
@@ -360,14 +360,15 @@
 
     async fn hold(&self, gateways: &[usize], lasts: Duration) {
         let rounds = lasts.as_millis() / HOLD_PERIOD.as_millis();
+        let mut starts = interval(HOLD_PERIOD);
         for _ in 0..rounds.max(1) {
+            starts.tick().await;
             let held = gateways.iter().map(|gateway| self.gateways[*gateway].clone());
             let mut holds = tokio::task::JoinSet::new();
             held.for_each(|gateway| {
                 holds.spawn(async move { gateway.hold(HOLD).await });
             });
             while holds.join_next().await.is_some() {}
-            sleep(HOLD_PERIOD / 8).await;
         }
     }
 
--- a/src/bin/brassport/acceptor.rs
+++ b/src/bin/brassport/acceptor.rs
@@ -37,6 +37,7 @@
 }
 
 impl Acceptor {
+    /// The acceptor of that socket, with the descriptors that the program may have.
     pub fn new(listener: TcpListener, descriptors: Arc<Semaphore>) -> Acceptor {
         Acceptor { listener, descriptors, stalled_since: Cell::new(None), failures: Cell::new(0) }
     }
--- a/src/bin/brassport/client_stream.rs
+++ b/src/bin/brassport/client_stream.rs
@@ -79,7 +79,12 @@
 }
 
 impl Input {
+    /// Notes a read of so many bytes; none is the end.
     fn take_in(&mut self, count: usize) {
+        if count == 0 {
+            self.ended = true;
+            return;
+        }
         let at = self.waited_since.take().unwrap_or_else(Instant::now);
         self.read_at.push_back((count, at));
     }
@@ -208,10 +213,9 @@
                     let mut input = self.input.borrow_mut();
                     self.socket.poll_read_into(context, room, &mut input.ahead)
                 });
-                match read.await {
-                    Ok(count) if count > 0 => self.input.borrow_mut().take_in(count),
-                    _ => self.input.borrow_mut().ended = true,
-                }
+                // A connection that failed has ended.
+                let count = read.await.unwrap_or(0);
+                self.input.borrow_mut().take_in(count);
             } else if self.socket.ends_behind_bytes().await {
                 self.input.borrow_mut().ended = true;
             } else {
@@ -229,10 +233,9 @@
                 break;
             }
             match self.socket.read_now(room, &mut input.ahead) {
-                Ok(0) => input.ended = true,
                 Ok(count) => input.take_in(count),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
-                Err(_) => input.ended = true,
+                Err(_) => input.take_in(0),
             }
         }
         input.ended
@@ -245,17 +248,11 @@
                 input.reader = Some(context.waker().clone());
                 return Poll::Pending;
             }
-            if input.hand_on(buffer) || buffer.remaining() == 0 {
-                return Poll::Ready(Ok(()));
-            }
-            if input.ended {
+            if input.hand_on(buffer) || buffer.remaining() == 0 || input.ended {
                 return Poll::Ready(Ok(()));
             }
-            match ready!(self.socket.poll_read_into(context, AHEAD_LIMIT, &mut input.ahead)) {
-                Ok(0) => input.ended = true,
-                Ok(count) => input.take_in(count),
-                Err(error) => return Poll::Ready(Err(error)),
-            }
+            let count = ready!(self.socket.poll_read_into(context, AHEAD_LIMIT, &mut input.ahead))?;
+            input.take_in(count);
         }
     }
 }
@@ -268,6 +265,7 @@
 }
 
 impl ClientStream {
+    /// The stream of that connection.
     pub fn new(connection: Rc<Connection>, caller: Rc<Caller>) -> ClientStream {
         ClientStream { connection, caller }
     }
--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -19,6 +19,7 @@
 use percent_encoding::percent_decode_str;
 use springusher::{Effect, Settings};
 use std::convert::Infallible;
+use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -50,8 +51,17 @@
 /// Most bytes of a request's id.
 const ID_LIMIT: usize = 128;
 /// Headers that say what is asked.
-const OURS: [&str; 8] =
-    ["x-request-id", "x-class", "plan", "cookie", "x-deadline", "quota-info", "x-retry", "idempotency-key"];
+const OURS: [&str; 9] = [
+    "host",
+    "x-request-id",
+    "x-class",
+    "plan",
+    "cookie",
+    "x-deadline",
+    "quota-info",
+    "x-retry",
+    "idempotency-key",
+];
 /// Headers that speak of one connection, or of this front door's own business, and go no further.
 const NOT_PASSED_ON: [HeaderName; 11] = [
     header::CONNECTION,
@@ -141,22 +151,27 @@
     let port = stream.peer_addr().map_or(0, |address| address.port());
     log::trace(port, || format!("connection accepted, crowded {crowded}, waited {}", waited_since.is_some()));
     let end = serve_connection(stream, waited_since, desk, crowded, caller).await;
-    log::trace(port, || format!("connection closed: {end:?}"));
+    log::trace(port, || format!("connection closed: {end}"));
 }
 
 /// Why a connection with a client is over.
-#[derive(Debug)]
 enum End {
     /// The client ended it, or what it sent was no HTTP.
     ByClient,
     /// Its last answer told that it would be closed.
     Announced,
-    /// Nobody asked on it for too long, others need the descriptor, or the program ends.
-    Unused,
-    /// Its request did not come to its end in time.
-    HalfAsked,
-    /// Its client has had its last answer, or does not take it.
-    Answered,
+    /// Its time was up, others need the descriptor, or the program ends.
+    Dismissed(Dismissal),
+}
+
+impl fmt::Display for End {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            End::ByClient => f.write_str("ByClient"),
+            End::Announced => f.write_str("Announced"),
+            End::Dismissed(dismissal) => write!(f, "{dismissal:?}"),
+        }
+    }
 }
 
 async fn serve_connection(
@@ -201,9 +216,9 @@
         biased;
         ended = &mut serving => (ended, End::Announced),
         dismissal = caller.dismissed(&client) => match dismissal {
-            Dismissal::Answered => return End::Answered,
+            Dismissal::Answered => return End::Dismissed(dismissal),
             // It takes nothing: what would be written now would stand in the middle of an earlier answer.
-            Dismissal::HalfAsked if client.is_write_blocked() => return End::HalfAsked,
+            Dismissal::HalfAsked if client.is_write_blocked() => return End::Dismissed(dismissal),
             Dismissal::HalfAsked => {
                 // Its last byte may come in this moment: whoever has begun to ask gets an answer.
                 caller.stage(Stage::Last);
@@ -212,13 +227,13 @@
                 if matches!(written, Ok(Ok(()))) {
                     last_words(stream, &caller, &client).await;
                 }
-                return End::HalfAsked;
+                return End::Dismissed(dismissal);
             }
             Dismissal::Unused => {
                 // Its last answer may still be on its way out.
                 std::pin::Pin::new(&mut serving).graceful_shutdown();
-                let Ok(ended) = timeout(LAST_ANSWER, &mut serving).await else { return End::Answered };
-                (ended, End::Unused)
+                let Ok(ended) = timeout(LAST_ANSWER, &mut serving).await else { return End::Dismissed(Dismissal::Answered) };
+                (ended, End::Dismissed(dismissal))
             }
         }
     };
@@ -356,12 +371,12 @@
 /// Guards against malformed input: what does not make sense goes no further.
 fn check(head: &Parts, desk: &Desk) -> Result<Asked, &'static str> {
     // Guards against headers that contradict each other: whoever reads on might go by the other one.
-    if OURS.iter().chain(&["host"]).any(|name| head.headers.get_all(*name).iter().nth(1).is_some()) {
+    if OURS.iter().any(|name| head.headers.get_all(*name).iter().nth(1).is_some()) {
         return Err("a header stands there twice");
     }
     // Guards against a request that loses its id or its key on the way: what Connection names is passed on to
     // nobody, and a repeat without its key would run again.
-    let ours = |name: &str| OURS.iter().chain(&["host"]).any(|ours| name.eq_ignore_ascii_case(ours));
+    let ours = |name: &str| OURS.iter().any(|ours| name.eq_ignore_ascii_case(ours));
     if connection_options(&head.headers).any(ours) {
         return Err("Connection names a header of the request");
     }
--- a/src/bin/brassport/config.rs
+++ b/src/bin/brassport/config.rs
@@ -1,6 +1,7 @@
 //! Configuration: the environment and the JSON file it names, checked and turned into the module's terms.
 
 use crate::discovery::List;
+use crate::retry;
 use serde::Deserialize;
 use springusher::{Class, Effect, Plan, Scope, Settings};
 use std::net::SocketAddr;
@@ -196,8 +197,17 @@
 /// # Errors
 /// What is missing or makes no sense, or that the file can't be read.
 pub fn read(first: First) -> Result<Config, Problem> {
+    read_within(Duration::ZERO, first)
+}
+
+/// The same; what can't be read for a moment is read again until `patience` is over.
+///
+/// # Errors
+/// What is missing or makes no sense, or that the file can't be read.
+pub fn read_within(patience: Duration, first: First) -> Result<Config, Problem> {
     let path = env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG is not set".to_string())?;
-    let text = fs::read_to_string(&path).map_err(|error| Problem::Unreadable(path, error))?;
+    let text = retry::blocking(patience, "reading the configuration", || fs::read_to_string(&path));
+    let text = text.map_err(|error| Problem::Unreadable(path, error))?;
     parse(&text, first).map_err(Problem::Invalid)
 }
 
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -190,11 +190,17 @@
             }
             entries.push(entry);
         }
-        let listed: HashSet<ServerId> = entries.iter().map(|entry| entry.id).collect();
-        let stays = |id: &ServerId| kind == ListKind::Delta || listed.contains(id);
-        self.backends.retain(|id| stays(&id));
+        let mut inner = self.inner.borrow_mut();
+        if kind != ListKind::Delta {
+            let listed: HashSet<ServerId> = entries.iter().map(|entry| entry.id).collect();
+            self.backends.retain(|id| listed.contains(&id));
+            inner.known.retain(|id, _| listed.contains(id));
+        }
         // Names of those that went would pile up, as each new backend has a new one.
-        self.inner.borrow_mut().known.retain(|id, _| stays(id) && !gone.contains(id));
+        for id in &gone {
+            inner.known.remove(id);
+        }
+        drop(inner);
         self.handle(Event::Servers { kind, entries });
     }
 
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -20,7 +20,7 @@
 
 use backends::Backends;
 use clients::{Desk, Phase};
-use config::{Config, First, Problem};
+use config::{Config, First};
 use counter::Counter;
 use discovery::Service;
 use door::Door;
@@ -55,7 +55,8 @@
         report(panic);
         std::process::abort();
     }));
-    match configuration().and_then(run) {
+    let config = config::read_within(START_PATIENCE, First::Environment);
+    match config.map_err(|problem| problem.to_string()).and_then(run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
             eprintln!("brassport: {problem}");
@@ -64,22 +65,6 @@
     }
 }
 
-/// The configuration; what can't be read for a moment is read again.
-fn configuration() -> Result<Config, String> {
-    let mut invalid = None;
-    let read = || match config::read(First::Environment) {
-        Ok(config) => Ok(Some(config)),
-        Err(Problem::Unreadable(_, error)) => Err(error),
-        Err(Problem::Invalid(text)) => {
-            invalid = Some(text);
-            Ok(None)
-        }
-    };
-    let config = retry::blocking(START_PATIENCE, "reading the configuration", read);
-    let config = config.map_err(|error| format!("cannot read the configuration: {error}"))?;
-    config.ok_or_else(|| invalid.unwrap_or_default())
-}
-
 fn run(config: Config) -> Result<(), String> {
     let build = || tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = retry::blocking(START_PATIENCE, "starting the runtime", build)
--- a/src/bin/brassport/retry.rs
+++ b/src/bin/brassport/retry.rs
@@ -1,9 +1,10 @@
 //! System calls that fail for a moment, because the system is out of something or a device errs, are made again.
 
 use crate::log;
+use rustix::io::Errno;
 use std::io::{self, ErrorKind};
-use std::time::Duration;
-use tokio::time::{sleep, Instant};
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
 
 /// Between a failure and the next try: at first, and at the most.
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
@@ -25,18 +26,20 @@
 
 /// Whether a failed attempt to connect says nothing of the peer: this machine could not even begin.
 pub fn is_local(error: &io::Error) -> bool {
-    const EMFILE: i32 = 24;
-    const ENFILE: i32 = 23;
-    const ENOMEM: i32 = 12;
-    const EAGAIN: i32 = 11;
-    const ENOBUFS: i32 = 105;
     matches!(
-        error.kind(),
-        ErrorKind::AddrNotAvailable
-            | ErrorKind::AddrInUse
-            | ErrorKind::NetworkUnreachable
-            | ErrorKind::Interrupted
-    ) || matches!(error.raw_os_error(), Some(EMFILE | ENFILE | ENOMEM | EAGAIN | ENOBUFS))
+        Errno::from_io_error(error),
+        Some(
+            Errno::ADDRNOTAVAIL
+                | Errno::ADDRINUSE
+                | Errno::NETUNREACH
+                | Errno::INTR
+                | Errno::MFILE
+                | Errno::NFILE
+                | Errno::NOMEM
+                | Errno::AGAIN
+                | Errno::NOBUFS
+        )
+    )
 }
 
 /// The pauses between tries, each twice as long as the one before, up to a limit.
@@ -46,6 +49,7 @@
 }
 
 impl Pauses {
+    /// The first pauses.
     pub fn new() -> Pauses {
         Pauses { next: FIRST_PAUSE }
     }
@@ -65,34 +69,53 @@
     }
 }
 
+/// The tries of one call.
+struct Tries<'a> {
+    what: &'a str,
+    until: Instant,
+    pauses: Pauses,
+}
+
+impl Tries<'_> {
+    /// The pause until the next try.
+    ///
+    /// # Errors
+    /// The failure itself, if it is one for good or the time is over.
+    fn pause(&mut self, error: io::Error) -> io::Result<Duration> {
+        if !may_pass(&error) || Instant::now() >= self.until {
+            return Err(error);
+        }
+        self.pauses.report(self.what, &error);
+        Ok(self.pauses.next())
+    }
+}
+
+fn tries(patience: Duration, what: &str) -> Tries<'_> {
+    Tries { what, until: Instant::now() + patience, pauses: Pauses::new() }
+}
+
 /// Makes a call again until it succeeds, fails for good, or `patience` is over.
 pub async fn within<T>(
     patience: Duration,
     what: &str,
     mut call: impl AsyncFnMut() -> io::Result<T>,
 ) -> io::Result<T> {
-    let (until, mut pauses) = (Instant::now() + patience, Pauses::new());
+    let mut tries = tries(patience, what);
     loop {
         match call().await {
-            Err(error) if may_pass(&error) && Instant::now() < until => {
-                pauses.report(what, &error);
-                sleep(pauses.next()).await;
-            }
-            result => return result,
+            Ok(done) => return Ok(done),
+            Err(error) => sleep(tries.pause(error)?).await,
         }
     }
 }
 
 /// The same before there is a runtime.
 pub fn blocking<T>(patience: Duration, what: &str, mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
-    let (until, mut pauses) = (std::time::Instant::now() + patience, Pauses::new());
+    let mut tries = tries(patience, what);
     loop {
         match call() {
-            Err(error) if may_pass(&error) && std::time::Instant::now() < until => {
-                pauses.report(what, &error);
-                std::thread::sleep(pauses.next());
-            }
-            result => return result,
+            Ok(done) => return Ok(done),
+            Err(error) => std::thread::sleep(tries.pause(error)?),
         }
     }
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -279,13 +279,20 @@
             self.counts.draw(self.now, &request, &plan);
             return;
         }
-        let mut share = self.within_quota(&request);
-        if blind && request.spread > 1 {
-            share = share.min(self.counts.let_in(&request));
-        }
+        let share = self.without_counter(&request);
         self.toss(&request, share, actions);
     }
 
+    /// The share of such requests that the quota lets in as far as is known without the counter's word.
+    fn without_counter(&mut self, request: &Request) -> f64 {
+        let share = self.within_quota(request);
+        if request.spread > 1 {
+            share.min(self.counts.admitted(request))
+        } else {
+            share
+        }
+    }
+
     fn asks_counter(&mut self, request: &Request) -> bool {
         self.settings.counter && request.spread > 1 && self.counts.bears(self.rng.rand_float())
     }
@@ -549,8 +556,7 @@
         match told {
             Told::Bucket(within) => {
                 let share = within.map(|within| f64::from(u8::from(within)));
-                let share =
-                    share.unwrap_or_else(|| self.within_quota(&request).min(self.counts.let_in(&request)));
+                let share = share.unwrap_or_else(|| self.without_counter(&request));
                 self.toss(&request, share, actions);
             }
             Told::Places(Some(taken)) if taken > f64::from(self.settings.plans[request.plan].open) => {
--- a/src/counts.rs
+++ b/src/counts.rs
@@ -45,7 +45,7 @@
     /// Chance that the counter is asked.
     asked: f64,
     /// Of each plan, the share of first tries and of further ones that the counter's buckets let in lately.
-    let_in: Vec<[f64; 2]>,
+    admitted: Vec<[f64; 2]>,
     /// How far the clock that all gateways share is ahead of the one that times are given in.
     ahead: Millis,
 }
@@ -53,9 +53,9 @@
 impl Counts {
     /// `longest` is the longest time that a request may take.
     pub fn new(longest: Millis, plans: usize) -> Counts {
-        let let_in = vec![[1.0; 2]; plans];
+        let admitted = vec![[1.0; 2]; plans];
         Counts {
-            let_in,
+            admitted,
             stretch: longest.max(1.0),
             calls: Calls::new(),
             held: BTreeMap::new(),
@@ -74,20 +74,25 @@
         coin < self.asked
     }
 
-    /// The share of such requests that the buckets let in lately: what goes by where the counter says nothing.
-    pub fn let_in(&self, request: &Request) -> f64 {
-        self.let_in[request.plan][usize::from(request.repeat)]
+    /// The share of such requests that the buckets let in lately, all of them where there are no buckets.
+    pub fn admitted(&self, request: &Request) -> f64 {
+        self.admitted[request.plan][usize::from(request.repeat)]
+    }
+
+    /// The number of a request's customer for the stretch at this time, and the part of that which is over.
+    fn number(&self, now: Millis, stretch: Millis, request: &Request) -> (CountName, f64) {
+        number((now + self.ahead) / stretch, request.customer)
     }
 
     /// Asks for a place.
     pub fn enter(&mut self, now: Millis, request: &Request) {
-        let (name, _) = number((now + self.ahead) / self.stretch, request.customer);
+        let (name, _) = self.number(now, self.stretch, request);
         self.calls.make(name & !BUCKET, 1.0, 2.0 * self.stretch, Some((*request, 1.0)));
     }
 
     /// Draws a request's units from its customer's bucket, and those of others that do not ask.
     pub fn draw(&mut self, now: Millis, request: &Request, plan: &Plan) {
-        let (name, _) = number((now + self.ahead) / fill(plan), request.customer);
+        let (name, _) = self.number(now, fill(plan), request);
         let units = request.units / self.asked;
         self.calls.make(name | BUCKET, units, LIFE, Some((*request, units)));
     }
@@ -125,11 +130,11 @@
             return Some((request.id, Told::Places(total)));
         }
         let plan = &plans[request.plan];
-        let seconds = number((now + self.ahead) / fill(plan), request.customer).1 * fill(plan) / 1000.0;
+        let seconds = self.number(now, fill(plan), &request).1 * fill(plan) / 1000.0;
         let holds = LEFT_OVER * plan.burst + plan.rate * seconds;
         let within = total.map(|total| total <= holds);
         if let Some(within) = within {
-            let share = &mut self.let_in[request.plan][usize::from(request.repeat)];
+            let share = &mut self.admitted[request.plan][usize::from(request.repeat)];
             *share += LEARN * (f64::from(u8::from(within)) - *share);
         }
         Some((request.id, Told::Bucket(within)))
