Give back again what the counter would not take back

Callers saw: a customer at its cap refused (429) with places free, for up to the longest deadline, after the counter had turned away a place's return (busy, or no connection).

Cause: src/counts.rs, leave: the call for a return was made with nobody waiting for its end, and its answer was dropped in Calls::ended.

Why it holds: each call carries its purpose; a return that was not added is owed and made again, one call a number, with doubling pauses, until the number serves no more. One that may have been added is not, as the cap would be broken.

--- a/src/calls.rs
+++ b/src/calls.rs
@@ -4,11 +4,11 @@
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
 
-/// The calls, with what whoever waits for each wants to know again at its end.
+/// The calls that are out, each with what has to be known again at its end.
 #[derive(Debug)]
 pub(crate) struct Calls<T> {
-    /// By name, the oldest first; `None` for one that nobody waits for.
-    out: BTreeMap<CountName, VecDeque<Option<T>>>,
+    /// By name, the oldest first.
+    out: BTreeMap<CountName, VecDeque<T>>,
     due: Vec<Action>,
 }
 
@@ -18,8 +18,8 @@
     }
 
     /// Makes a call.
-    pub fn make(&mut self, name: CountName, amount: f64, life: Millis, waits: Option<T>) {
-        self.out.entry(name).or_default().push_back(waits);
+    pub fn make(&mut self, name: CountName, amount: f64, life: Millis, pending: T) {
+        self.out.entry(name).or_default().push_back(pending);
         self.due.push(Action::Count { name, amount, life });
     }
 
@@ -30,7 +30,7 @@
         if calls.is_empty() {
             self.out.remove(&name);
         }
-        call?
+        call
     }
 
     /// Hands over the calls that are due.
--- a/src/control.rs
+++ b/src/control.rs
@@ -77,6 +77,7 @@
 const DEADLINE: u64 = 0;
 const REVIEW: u64 = 1;
 const LIST: u64 = 2;
+const RETURNS: u64 = 3;
 
 #[derive(Debug)]
 struct Attempt {
@@ -239,13 +240,14 @@
             Event::Timer(token) => match (token % 4, token / 4) {
                 (DEADLINE, request) => self.give_up(request, actions),
                 (REVIEW, request) => self.review(request, actions),
+                (RETURNS, _) => self.counts.return_owed(self.now),
                 _ => actions.push(Action::FollowServers),
             },
             Event::Servers { kind, entries } => self.roster(kind, entries, actions),
             Event::Counted { name, counted } => self.counted(name, counted, actions),
             Event::WallClock { ahead } => self.counts.set_clock(ahead),
         }
-        self.counts.hand_over(actions);
+        self.counts.hand_over(self.now, RETURNS, actions);
     }
 
     fn arrive(&mut self, mut request: Request, actions: &mut Vec<Action>) {
@@ -549,7 +551,7 @@
         let told = self.counts.counted(self.now, name, counted, &self.settings.plans);
         let Some((id, told)) = told else { return };
         let Some(open) = self.requests.get(&id).filter(|open| !open.done) else {
-            self.counts.leave(id);
+            self.counts.leave(self.now, id);
             return;
         };
         let request = open.request;
@@ -746,7 +748,7 @@
     fn forget_if_over(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(|open| open.done && open.attempts.iter().all(|a| !a.out)) {
             self.requests.remove(&id);
-            self.counts.leave(id);
+            self.counts.leave(self.now, id);
         }
     }
 
--- a/src/counts.rs
+++ b/src/counts.rs
@@ -23,6 +23,9 @@
 const LEARN: f64 = 0.05;
 /// Least chance that it is asked: that it is back has to be noticed.
 const LEAST_ASKED: f64 = 0.02;
+/// Until what the counter would not take back is given back again, at first and, doubled each time, at the most.
+const FIRST_RETURN_PAUSE: Millis = 50.0;
+const LAST_RETURN_PAUSE: Millis = 400.0;
 
 /// What the counter told; `None` if it did not say.
 #[derive(Debug, Clone, Copy)]
@@ -33,15 +36,41 @@
     Bucket(Option<bool>),
 }
 
+/// What a call that is out is for.
+#[derive(Debug)]
+enum Purpose {
+    /// A request waits for the answer.
+    Ask(Request),
+    /// What nobody holds any more is given back; after `until` the number serves no more.
+    Return { until: Millis },
+}
+
+#[derive(Debug)]
+struct Call {
+    purpose: Purpose,
+    amount: f64,
+}
+
+/// What the counter would not take back, which is given back again later.
+#[derive(Debug, Default)]
+struct Returns {
+    /// By number: the amount, and until when the number serves.
+    owed: BTreeMap<CountName, (f64, Millis)>,
+    /// Between such a failure and the next try; 0 while returns are taken.
+    pause: Millis,
+    /// Whether the host is to wake this gateway for them.
+    due: bool,
+}
+
 #[derive(Debug)]
 pub(crate) struct Counts {
     /// A gauge serves for a stretch this long: what gateways that died left on it is gone with it. Hurts for
     /// a moment where one ends, as what is out then is not on the next.
     stretch: Millis,
-    /// Who asks, and the amount that it adds.
-    calls: Calls<(Request, f64)>,
+    calls: Calls<Call>,
     /// What each request has added to which number, to be taken off again.
     held: BTreeMap<(RequestId, CountName), f64>,
+    returns: Returns,
     /// Chance that the counter is asked.
     asked: f64,
     /// Of each plan, the share of first tries and of further ones that the counter's buckets let in lately.
@@ -59,6 +88,7 @@
             stretch: longest.max(1.0),
             calls: Calls::new(),
             held: BTreeMap::new(),
+            returns: Returns::default(),
             asked: 1.0,
             ahead: 0.0,
         }
@@ -87,14 +117,16 @@
     /// Asks for a place.
     pub fn enter(&mut self, now: Millis, request: &Request) {
         let (name, _) = self.number(now, self.stretch, request);
-        self.calls.make(name & !BUCKET, 1.0, 2.0 * self.stretch, Some((*request, 1.0)));
+        let call = Call { purpose: Purpose::Ask(*request), amount: 1.0 };
+        self.calls.make(name & !BUCKET, 1.0, 2.0 * self.stretch, call);
     }
 
     /// Draws a request's units from its customer's bucket, and those of others that do not ask.
     pub fn draw(&mut self, now: Millis, request: &Request, plan: &Plan) {
         let (name, _) = self.number(now, fill(plan), request);
         let units = request.units / self.asked;
-        self.calls.make(name | BUCKET, units, LIFE, Some((*request, units)));
+        let call = Call { purpose: Purpose::Ask(*request), amount: units };
+        self.calls.make(name | BUCKET, units, LIFE, call);
     }
 
     /// Keeps what a request has drawn: it is sent on.
@@ -103,14 +135,30 @@
         drawn.map(|key| self.held.remove(&key));
     }
 
-    pub fn leave(&mut self, request: RequestId) {
+    /// Gives back all that a request holds.
+    pub fn leave(&mut self, now: Millis, request: RequestId) {
         while let Some((&(id, name), &amount)) = self.held.range((request, 0)..=(request, u64::MAX)).next() {
             self.held.remove(&(id, name));
-            self.calls.make(name, -amount, 2.0 * self.stretch, None);
+            self.give_back(name, amount, now + self.stretch);
+        }
+    }
+
+    fn give_back(&mut self, name: CountName, amount: f64, until: Millis) {
+        let call = Call { purpose: Purpose::Return { until }, amount };
+        self.calls.make(name, -amount, 2.0 * self.stretch, call);
+    }
+
+    /// Makes the calls again that give back what the counter would not take.
+    pub fn return_owed(&mut self, now: Millis) {
+        self.returns.due = false;
+        for (name, (amount, until)) in std::mem::take(&mut self.returns.owed) {
+            if now < until {
+                self.give_back(name, amount, until);
+            }
         }
     }
 
-    /// Takes an answer in: whose it is if somebody waits for it, and what it tells.
+    /// Takes an answer in: the request that it is about, if any, and what it tells.
     pub fn counted(
         &mut self,
         now: Millis,
@@ -121,7 +169,14 @@
         let total = if let Counted::Total(total) = counted { Some(total) } else { None };
         let change = if total.is_some() { REGAIN } else { -SHED * self.asked };
         self.asked = (self.asked + change).clamp(LEAST_ASKED, 1.0);
-        let (request, amount) = self.calls.ended(name)?;
+        let Call { purpose, amount } = self.calls.ended(name)?;
+        let request = match purpose {
+            Purpose::Ask(request) => request,
+            Purpose::Return { until } => {
+                self.returns.ended(name, amount, until, counted);
+                return None;
+            }
+        };
         // What may have been added most likely was: the call waits in the counter's line.
         if counted != Counted::NotAdded {
             self.held.insert((request.id, name), amount);
@@ -140,8 +195,32 @@
         Some((request.id, Told::Bucket(within)))
     }
 
-    pub fn hand_over(&mut self, actions: &mut Vec<Action>) {
+    /// Hands over the calls that are due; `token` names the timer for [`Counts::return_owed`].
+    pub fn hand_over(&mut self, now: Millis, token: u64, actions: &mut Vec<Action>) {
         self.calls.hand_over(actions);
+        if !self.returns.owed.is_empty() && !self.returns.due {
+            self.returns.due = true;
+            actions.push(Action::Timer { at: now + self.returns.pause, token });
+        }
+    }
+}
+
+impl Returns {
+    /// Notes how a call ended that gave back an amount. One that may have been taken is not made again: a gauge that
+    /// is too low lets more out than its cap, one that is too high serves only until `until`.
+    fn ended(&mut self, name: CountName, amount: f64, until: Millis, counted: Counted) {
+        match counted {
+            Counted::Total(_) => self.pause = 0.0,
+            Counted::Unknown => {}
+            Counted::NotAdded => {
+                if !self.due && self.owed.is_empty() {
+                    self.pause = (2.0 * self.pause).clamp(FIRST_RETURN_PAUSE, LAST_RETURN_PAUSE);
+                }
+                let owed = self.owed.entry(name).or_insert((0.0, until));
+                owed.0 += amount;
+                owed.1 = owed.1.max(until);
+            }
+        }
     }
 }
 
