Take held places again on the new counter when a reload moves it

Callers saw: after a SIGHUP that moved the counter, more attempts of a capped customer out than its plan allows, until the stretch of time ended; and each SIGHUP, also one that left the counter where it was, ended the calls on its line.

Cause: src/bin/brassport/counter.rs changed the address silently; src/counts.rs gave places back by name, wherever.

Why it holds: the move is an event; places that are held are taken again at the new address before they can be given back, in the order in which calls are made. Requests that asked in that very moment go on without the counter's word.

--- a/src/bin/brassport/counter.rs
+++ b/src/bin/brassport/counter.rs
@@ -36,6 +36,15 @@
     told: bool,
 }
 
+/// What the line to the counter tells.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Report {
+    /// A call ended.
+    Ended { name: CountName, counted: Counted },
+    /// The counter is at another address now. All calls that were made until now have ended.
+    Moved,
+}
+
 /// Takes calls in. They are as many as requests in hand allow, and none waits for longer than its time.
 #[derive(Clone)]
 pub struct Counter {
@@ -68,12 +77,9 @@
 }
 
 impl Line {
-    /// Carries calls out for ever, at the address that `address` holds, and hands each one's end over.
-    pub async fn keep(
-        mut self,
-        mut address: watch::Receiver<Option<SocketAddr>>,
-        ended: impl Fn(CountName, Counted),
-    ) {
+    /// Carries calls out for ever, at the address that `address` holds, and reports each one's end.
+    pub async fn keep(mut self, mut address: watch::Receiver<Option<SocketAddr>>, report: impl Fn(Report)) {
+        let ended = |name, counted| report(Report::Ended { name, counted });
         let mut calls = Vec::with_capacity(BATCH);
         let mut rest_until = Instant::now();
         loop {
@@ -83,8 +89,8 @@
                 read = receive(&mut self.link, &mut self.read) => {
                     // The counter closes what stands idle: that says nothing of the next connection.
                     let idle = self.waiting.is_empty() && self.read.is_empty();
-                    if !read || !self.take_answers(&ended) {
-                        self.give_up(&ended);
+                    if !read || !self.take_answers(ended) {
+                        self.give_up(ended);
                         if !idle {
                             rest_until = Instant::now() + BACK_OFF;
                         }
@@ -97,14 +103,19 @@
                         ended(call.name, Counted::Unknown);
                     }
                     if self.waiting.len() > MOST_LATE {
-                        self.give_up(&ended);
+                        self.give_up(ended);
                     }
                 }
                 moved = address.changed() => {
                     if moved.is_err() {
                         return;
                     }
-                    self.give_up(&ended);
+                    self.give_up(ended);
+                    // What waits to go out may give back what the old counter holds.
+                    while let Ok(call) = self.queue.try_recv() {
+                        ended(call.name, Counted::NotAdded);
+                    }
+                    report(Report::Moved);
                     rest_until = Instant::now();
                 }
                 count = self.queue.recv_many(&mut calls, BATCH) => {
@@ -115,7 +126,7 @@
                     if Instant::now() >= rest_until && !self.connected(at).await {
                         rest_until = Instant::now() + BACK_OFF;
                     }
-                    if !self.send(&mut calls, &ended).await {
+                    if !self.send(&mut calls, ended).await {
                         rest_until = Instant::now() + BACK_OFF;
                     }
                 }
@@ -229,7 +240,8 @@
         let got = Rc::new(RefCell::new(Vec::new()));
         let (put, done) = (got.clone(), tokio::sync::Notify::new());
         (0..calls).for_each(|name| counter.add(name, -1.5, 4000.0));
-        let ended = |name, counted| {
+        let report = |report| {
+            let Report::Ended { name, counted } = report else { return };
             put.borrow_mut().push((name, counted));
             if put.borrow().len() as u64 == calls {
                 done.notify_one();
@@ -237,7 +249,7 @@
         };
         tokio::select! {
             () = peer => {}
-            () = line.keep(seen, ended) => {}
+            () = line.keep(seen, report) => {}
             () = done.notified() => {}
         }
         let got = got.borrow().clone();
@@ -270,10 +282,12 @@
         let (_address, seen) = watch::channel(Some(at));
         counter.add(7, 1.0, 4000.0);
         let (ends, mut got) = unbounded_channel();
-        let ended = move |name, counted| ends.send((name, counted)).expect("the test listens");
+        let report = move |report| ends.send(report).expect("the test listens");
         tokio::select! {
-            () = line.keep(seen, ended) => {}
-            end = got.recv() => assert_eq!(end, Some((7, Counted::Unknown))),
+            () = line.keep(seen, report) => {}
+            end = got.recv() => {
+                assert_eq!(end, Some(Report::Ended { name: 7, counted: Counted::Unknown }));
+            }
         }
     }
 
@@ -283,10 +297,12 @@
         let (_address, seen) = watch::channel(None);
         counter.add(7, 1.0, 4000.0);
         let (ends, mut got) = unbounded_channel();
-        let ended = move |name, counted| ends.send((name, counted)).expect("the test listens");
+        let report = move |report| ends.send(report).expect("the test listens");
         tokio::select! {
-            () = line.keep(seen, ended) => {}
-            end = got.recv() => assert_eq!(end, Some((7, Counted::NotAdded))),
+            () = line.keep(seen, report) => {}
+            end = got.recv() => {
+                assert_eq!(end, Some(Report::Ended { name: 7, counted: Counted::NotAdded }));
+            }
         }
     }
 }
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -4,16 +4,13 @@
 use crate::backends::{Backends, End, Message};
 use crate::client_stream::Connection;
 use crate::clock::Clock;
-use crate::counter::Counter;
+use crate::counter::{self, Counter};
 use crate::discovery::{List, State, Target};
 use crate::guard::{Guard, Sending, Violation};
 use crate::log;
 use hyper::body::Bytes;
 use hyper::Response;
-use springusher::{
-    Action, AttemptEnd, CountName, Counted, Effect, Event, Gateway, InvalidSetting, Lifecycle, ListKind,
-    Millis,
-};
+use springusher::{Action, AttemptEnd, Effect, Event, Gateway, InvalidSetting, Lifecycle, ListKind, Millis};
 use springusher::{Request, RequestId, ServerEntry, ServerId, Settings};
 use std::cell::RefCell;
 use std::cmp::Reverse;
@@ -250,9 +247,12 @@
         Some(boot.1)
     }
 
-    /// Takes in the end of a call of the counter.
-    pub fn counted(self: &Rc<Self>, name: CountName, counted: Counted) {
-        self.handle(Event::Counted { name, counted });
+    /// Takes in what the line to the counter reports.
+    pub fn counter_reported(self: &Rc<Self>, report: counter::Report) {
+        self.handle(match report {
+            counter::Report::Ended { name, counted } => Event::Counted { name, counted },
+            counter::Report::Moved => Event::CounterMoved,
+        });
     }
 
     /// Wakes the module when its timers are due.
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -100,7 +100,7 @@
         .map_err(|error| error.to_string())?;
     let (counter, seen) = watch::channel(config.counter);
     let counted = door.clone();
-    spawn_local(line.keep(seen, move |name, end| counted.counted(name, end)));
+    spawn_local(line.keep(seen, move |report| counted.counter_reported(report)));
     let known = config.known.all.then_some(config.known.rev);
     door.servers(ListKind::Cached, config.known);
     spawn_local(door.clone().keep_time());
@@ -128,7 +128,7 @@
 
     spawn_local(reload::follow(hangups, move |config| {
         discovery.send_replace(config.discovery);
-        counter.send_replace(config.counter);
+        counter.send_if_modified(|held| std::mem::replace(held, config.counter) != config.counter);
     }));
     terminate.recv().await;
     phase.send_replace(Phase::Leaving);
--- a/src/control.rs
+++ b/src/control.rs
@@ -246,6 +246,7 @@
             Event::Servers { kind, entries } => self.roster(kind, entries, actions),
             Event::Counted { name, counted } => self.counted(name, counted, actions),
             Event::WallClock { ahead } => self.counts.set_clock(ahead),
+            Event::CounterMoved => self.counts.moved(),
         }
         self.counts.hand_over(self.now, RETURNS, actions);
     }
@@ -550,6 +551,9 @@
     fn counted(&mut self, name: CountName, counted: Counted, actions: &mut Vec<Action>) {
         let told = self.counts.counted(self.now, name, counted, &self.settings.plans);
         let Some((id, told)) = told else { return };
+        if matches!(told, Told::TakenAgain) && self.requests.contains_key(&id) {
+            return;
+        }
         let Some(open) = self.requests.get(&id).filter(|open| !open.done) else {
             self.counts.leave(self.now, id);
             return;
@@ -566,6 +570,7 @@
                 self.refuse(id, wait, Refusal::Places, actions);
             }
             Told::Places(_) => self.send_first(id, actions),
+            Told::TakenAgain => {}
         }
     }
 
--- a/src/counts.rs
+++ b/src/counts.rs
@@ -34,6 +34,8 @@
     Places(Option<f64>),
     /// Whether the bucket holds what is drawn.
     Bucket(Option<bool>),
+    /// A place that was held is taken again, for a request that did not wait for it.
+    TakenAgain,
 }
 
 /// What a call that is out is for.
@@ -41,6 +43,8 @@
 enum Purpose {
     /// A request waits for the answer.
     Ask(Request),
+    /// A request that has its place already takes it again on another counter.
+    TakeAgain(RequestId),
     /// What nobody holds any more is given back; after `until` the number serves no more.
     Return { until: Millis },
 }
@@ -158,6 +162,18 @@
         }
     }
 
+    /// The counter is another one now. Places that requests hold are taken again there, or what goes out there would
+    /// not count what is out; what the old one is owed, or has let out of its buckets, means nothing to it.
+    pub fn moved(&mut self) {
+        self.returns.owed.clear();
+        for ((request, name), amount) in std::mem::take(&mut self.held) {
+            if name & BUCKET == 0 {
+                let call = Call { purpose: Purpose::TakeAgain(request), amount };
+                self.calls.make(name, amount, 2.0 * self.stretch, call);
+            }
+        }
+    }
+
     /// Takes an answer in: the request that it is about, if any, and what it tells.
     pub fn counted(
         &mut self,
@@ -170,8 +186,9 @@
         let change = if total.is_some() { REGAIN } else { -SHED * self.asked };
         self.asked = (self.asked + change).clamp(LEAST_ASKED, 1.0);
         let Call { purpose, amount } = self.calls.ended(name)?;
-        let request = match purpose {
-            Purpose::Ask(request) => request,
+        let (id, waits) = match purpose {
+            Purpose::Ask(request) => (request.id, Some(request)),
+            Purpose::TakeAgain(id) => (id, None),
             Purpose::Return { until } => {
                 self.returns.ended(name, amount, until, counted);
                 return None;
@@ -179,8 +196,9 @@
         };
         // What may have been added most likely was: the call waits in the counter's line.
         if counted != Counted::NotAdded {
-            self.held.insert((request.id, name), amount);
+            self.held.insert((id, name), amount);
         }
+        let Some(request) = waits else { return Some((id, Told::TakenAgain)) };
         if name & BUCKET == 0 {
             return Some((request.id, Told::Places(total)));
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -366,6 +366,9 @@
         /// How far it is ahead of the host's clock from now on; 0 until the first such event.
         ahead: Millis,
     },
+    /// The counter is at another place from now on, and knows nothing of what the one before it kept. All calls that
+    /// were made until now have ended.
+    CounterMoved,
     /// A call of the counter ended; for each name they do in the order in which they were made.
     Counted {
         /// The number's name.
--- a/tests/places.rs
+++ b/tests/places.rs
@@ -198,3 +198,33 @@
     }
     assert_eq!(world.ask_all(1).len(), CAP);
 }
+
+#[test]
+fn a_cap_holds_over_all_gateways_when_the_counter_moves() {
+    let mut world = World::new(GATEWAYS);
+    let out = world.ask_all(1);
+    world.numbers.clear();
+    for gateway in 0..world.hosts.len() {
+        let actions = world.hosts[gateway].event(Event::CounterMoved);
+        world.count(gateway, actions);
+    }
+    assert_eq!(world.ask_all(1).len(), 0, "what is out counts on the new counter");
+    for (gateway, id) in out {
+        world.end(gateway, id);
+    }
+    assert!(world.numbers.values().all(|total| *total == 0.0), "{:?}", world.numbers);
+    assert_eq!(world.ask_all(1).len(), CAP);
+}
+
+#[test]
+fn a_place_that_is_taken_again_behind_its_requests_end_is_given_back() {
+    let mut host = Host::seeded(Settings { counter: true, ..settings() }, 7, &[server(1)]);
+    let (id, actions) = host.ask(1, CAPPED, 0);
+    let [_, Action::Count { name, .. }] = actions[..] else { panic!("{actions:?}") };
+    host.event(Event::Counted { name, counted: Counted::Total(1.0) });
+    let again = host.event(Event::CounterMoved);
+    assert!(matches!(again[..], [Action::Count { amount: 1.0, .. }]), "{again:?}");
+    assert!(!host.end(id, 0, Outcome::Ok, None).iter().any(|action| matches!(action, Action::Count { .. })));
+    let back = host.event(Event::Counted { name, counted: Counted::Unknown });
+    assert!(matches!(back[..], [Action::Count { amount: -1.0, .. }]), "{back:?}");
+}
