--- a/tests/front_door/main.rs
+++ b/tests/front_door/main.rs
@@ -8,5 +8,6 @@
 mod peers;
 mod process;
 mod quota;
+mod reload;
 mod shutdown;
 mod system_calls;
--- a/tests/front_door/peers.rs
+++ b/tests/front_door/peers.rs
@@ -6,7 +6,7 @@
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, AtomicU8, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, OnceLock};
@@ -316,11 +316,30 @@
         self.signal("-TERM");
     }
     pub fn signal(&self, name: &str) {
-        let status = Command::new("kill").arg(name).arg(self.child.id().to_string()).status();
-        assert!(status.expect("kill runs").success());
+        signal(&self.child, name);
     }
 }
 
+/// Sends a signal, by a name as `kill` takes it.
+pub fn signal(child: &Child, name: &str) {
+    let status = Command::new("kill").arg(name).arg(child.id().to_string()).status();
+    assert!(status.expect("kill runs").success());
+}
+
+/// How a process ended within that time; it is killed and `None` if it has not.
+pub fn end_within(child: &mut Child, span: Duration) -> Option<ExitStatus> {
+    let until = Instant::now() + span;
+    while Instant::now() < until {
+        if let Some(status) = child.try_wait().expect("the process is there") {
+            return Some(status);
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    let _ = child.kill();
+    let _ = child.wait();
+    None
+}
+
 impl Drop for Front {
     fn drop(&mut self) {
         let _ = self.child.kill();
@@ -342,7 +361,8 @@
     command(file, config).stderr(errors).spawn().expect("the program starts")
 }
 
-fn command(file: &Path, config: &Value) -> Command {
+/// The program's command, with its environment.
+pub fn command(file: &Path, config: &Value) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_brassport"));
     command
         .env("BALANCER_CONFIG", file)
--- /dev/null
+++ b/tests/front_door/reload.rs
@@ -0,0 +1,177 @@
+//! Signals and files at a start and at a reload.
+
+use crate::peers::*;
+use fault_soak::shim::Faults;
+use serde_json::{json, Value};
+use std::path::Path;
+use std::process::{Command, Stdio};
+use std::thread;
+use std::time::Duration;
+
+/// A start is held up for so long: much longer than a process needs until its `main` runs.
+const HELD_UP: Duration = Duration::from_millis(1000);
+/// Whatever is told to end at once has ended by then, also on a slow machine.
+const AT_ONCE: Duration = Duration::from_secs(5);
+
+/// Puts a named pipe in the place of a file: opening it to read takes until somebody opens it to write.
+fn replace_by_pipe(file: &Path) {
+    std::fs::remove_file(file).expect("the file is there");
+    assert!(Command::new("mkfifo").arg(file).status().expect("mkfifo runs").success());
+}
+
+fn half(config: &Value) -> String {
+    let text = config.to_string();
+    text[..text.len() / 2].to_string()
+}
+
+// Signals were taken only once the configuration had been read, which a start tries for up to 20 s: until then a
+// SIGHUP, which says no more than that there is a newer file, ended the process (`signal: 1 (SIGHUP)`).
+#[test]
+fn a_start_that_cannot_read_its_file_yet_bears_signals_in_series() {
+    let backend = Peer::start();
+    let config = config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]));
+    let faulty = Faulty::new();
+    faulty.control.set(Faults { open_fails: 1.0, ..Faults::default() });
+    let file = write_config(&config);
+    let child = faulty.spawn(&file, &config);
+    thread::sleep(HELD_UP);
+    for _ in 0..5 {
+        signal(&child, "-HUP");
+    }
+    faulty.control.set(Faults::default());
+    let front = Front::listening(child, &config, file);
+    let mut client = front.client();
+    client.send(&get(""));
+    backend.next().ok("served");
+    assert_eq!(client.read().status(), 200);
+}
+
+// The same with SIGTERM (`signal: 15 (SIGTERM)`): an end that was asked for is none with an error.
+#[test]
+fn a_start_that_is_told_to_end_ends_at_once_and_in_order() {
+    for signals in [&["-TERM"][..], &["-HUP", "-TERM", "-HUP", "-TERM"]] {
+        let config = config(closed_port(), list(&[]));
+        let faulty = Faulty::new();
+        faulty.control.set(Faults { open_fails: 1.0, ..Faults::default() });
+        let mut child = faulty.spawn(&write_config(&config), &config);
+        thread::sleep(HELD_UP);
+        for name in signals {
+            signal(&child, name);
+        }
+        let status = end_within(&mut child, AT_ONCE).expect("it ends at once");
+        assert!(status.success(), "{signals:?}: {status}");
+    }
+}
+
+#[test]
+fn a_file_that_is_newer_than_the_one_read_at_the_start_is_taken() {
+    let (first, second) = (Peer::start(), Peer::start());
+    let mut config = config(first.address, list(&[]));
+    let faulty = Faulty::new();
+    // The file is read and the port can't be had yet.
+    faulty.control.set(Faults { socket_fails: 1.0, ..Faults::default() });
+    let file = write_config(&config);
+    let child = faulty.spawn(&file, &config);
+    thread::sleep(HELD_UP);
+    config["discovery"] = json!(second.address.to_string());
+    std::fs::write(&file, config.to_string()).expect("the file is replaced");
+    signal(&child, "-HUP");
+    faulty.control.set(Faults::default());
+    let _front = Front::listening(child, &config, file);
+    second.next();
+}
+
+// A file that is rewritten in place is cut short for a moment. At the signal it was read once and the new addresses
+// were dropped for good: `not reloaded: configuration: EOF while parsing ...`, and 6 s later the gateway still asked
+// the old discovery, though a change counts as told 4 s after the signal.
+#[test]
+fn a_new_configuration_that_is_half_written_at_the_signal_is_taken_once_it_is_whole() {
+    for cut in [half, |_: &Value| String::new()] {
+        let (backend, first, second) = (Peer::start(), Peer::start(), Peer::start());
+        let mut config = config(first.address, list(&[target("s-00000001", backend.address, "ready")]));
+        let front = Front::start(&config);
+        let _call = first.next();
+        config["discovery"] = json!(second.address.to_string());
+        std::fs::write(&front.file, cut(&config)).expect("a part is written");
+        front.signal("-HUP");
+        thread::sleep(Duration::from_millis(300));
+        // What was in force stays so.
+        let mut client = front.client();
+        client.send(&get(""));
+        backend.next().ok("served");
+        assert_eq!(client.read().status(), 200);
+        std::fs::write(&front.file, config.to_string()).expect("the rest is written");
+        second.next();
+    }
+}
+
+#[test]
+fn a_configuration_that_makes_no_sense_is_told_once_and_changes_nothing() {
+    let (backend, first, second) = (Peer::start(), Peer::start(), Peer::start());
+    let mut config = config(first.address, list(&[target("s-00000001", backend.address, "ready")]));
+    let (log, writer) = std::io::pipe().expect("a pipe");
+    let front = Front::start_with(&config, Stdio::from(writer));
+    let _call = first.next();
+    config["discovery"] = json!(second.address.to_string());
+    config["settings"]["plans"][0]["unitsPerS"] = json!(-1.0);
+    std::fs::write(&front.file, config.to_string()).expect("the file is replaced");
+    front.signal("-HUP");
+    thread::sleep(Duration::from_millis(700));
+    assert!(second.exchanges.try_recv().is_err(), "a configuration that makes no sense is in force");
+    drop(front);
+    let said = std::io::read_to_string(log).expect("text");
+    let told = "brassport: not reloaded: setting plans[0].rate: must be a finite number, not below 0\n";
+    assert_eq!(said.matches("not reloaded").count(), 1, "{said}");
+    assert!(said.contains(told), "{said}");
+}
+
+// At the start the same file ended the process at once, with exit code 1, where one that fails with EIO is tried for
+// 20 s.
+#[test]
+fn a_start_bears_a_file_that_is_still_being_written() {
+    for cut in [half, |_: &Value| String::new()] {
+        let backend = Peer::start();
+        let config = config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]));
+        let file = write_config(&config);
+        std::fs::write(&file, cut(&config)).expect("a part is written");
+        let mut child = spawn(&file, &config, Stdio::inherit());
+        thread::sleep(HELD_UP);
+        assert_eq!(child.try_wait().expect("the process is there"), None, "it has ended");
+        std::fs::write(&file, config.to_string()).expect("the rest is written");
+        let front = Front::listening(child, &config, file);
+        let mut client = front.client();
+        client.send(&get(""));
+        backend.next().ok("served");
+        assert_eq!(client.read().status(), 200);
+    }
+}
+
+// The file was read on the thread that serves: a folder that hangs stopped all service, and the end.
+#[test]
+fn a_file_that_takes_for_ever_to_open_holds_up_neither_service_nor_the_end() {
+    let backend = Peer::start();
+    let config = config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]));
+    let mut front = Front::start(&config);
+    replace_by_pipe(&front.file);
+    front.signal("-HUP");
+    thread::sleep(Duration::from_millis(300));
+    let mut client = front.client();
+    client.send(&get(""));
+    backend.next().ok("served");
+    assert_eq!(client.read().status(), 200);
+    front.terminate();
+    drop(client);
+    assert!(end_within(&mut front.child, AT_ONCE).expect("it ends").success());
+}
+
+#[test]
+fn a_start_whose_file_takes_for_ever_to_open_can_be_told_to_end() {
+    let config = config(closed_port(), list(&[]));
+    let file = write_config(&config);
+    replace_by_pipe(&file);
+    let mut child = spawn(&file, &config, Stdio::inherit());
+    thread::sleep(HELD_UP);
+    signal(&child, "-TERM");
+    let status = end_within(&mut child, AT_ONCE).expect("it ends at once");
+    assert!(status.success(), "{status}");
+}
