Take signals first of all in main, and read the file beside them

Callers saw: a gateway that was told of a new file (SIGHUP) while it started died of it; one whose folder hung at a reload served nobody, and did not end.

Why it holds: signals are caught by the first statement of main; a SIGHUP before the file is read needs no act, later ones are kept until the reload task asks. SIGTERM until the listener is bound ends the start with code 0, nothing taken in. The file is read on a thread that the end does not wait for.

--- a/src/bin/brassport/config.rs
+++ b/src/bin/brassport/config.rs
@@ -1,12 +1,14 @@
 //! Configuration: the environment and the JSON file it names, checked and turned into the module's terms.
 
 use crate::discovery::List;
-use crate::retry;
+use crate::retry::{self, Pauses};
 use serde::Deserialize;
 use springusher::{Class, Effect, Plan, Scope, Settings};
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::{env, fmt, fs, io};
+use tokio::task::spawn_blocking;
+use tokio::time::{sleep, timeout_at, Instant};
 
 /// How long a call of the counter may take where the settings do not say, and the longest that they may say:
 /// a request waits for it. Milliseconds.
@@ -177,9 +179,13 @@
     Invalid(String),
 }
 
-impl From<String> for Problem {
-    fn from(text: String) -> Problem {
-        Problem::Invalid(text)
+impl Problem {
+    /// Whether it may be gone a moment later without anybody's doing.
+    fn may_pass(&self) -> bool {
+        match self {
+            Problem::Unreadable(_, error) => retry::may_pass(error),
+            Problem::Invalid(_) => false,
+        }
     }
 }
 
@@ -192,23 +198,43 @@
     }
 }
 
-/// Reads and checks the whole configuration.
+/// Reads and checks the whole configuration. The file is read on a thread of its own: a folder that hangs holds up
+/// nothing else.
 ///
 /// # Errors
 /// What is missing or makes no sense, or that the file can't be read.
-pub fn read(first: First) -> Result<Config, Problem> {
-    read_within(Duration::ZERO, first)
+pub async fn read(first: First) -> Result<Config, Problem> {
+    let path = path()?;
+    let read_from = path.clone();
+    let read =
+        spawn_blocking(move || fs::read_to_string(read_from)).await.unwrap_or_else(|error| Err(error.into()));
+    let text = read.map_err(|error| Problem::Unreadable(path, error))?;
+    parse(&text, first).map_err(Problem::Invalid)
 }
 
 /// The same; what can't be read for a moment is read again until `patience` is over.
 ///
 /// # Errors
 /// What is missing or makes no sense, or that the file can't be read.
-pub fn read_within(patience: Duration, first: First) -> Result<Config, Problem> {
-    let path = env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG is not set".to_string())?;
-    let text = retry::blocking(patience, "reading the configuration", || fs::read_to_string(&path));
-    let text = text.map_err(|error| Problem::Unreadable(path, error))?;
-    parse(&text, first).map_err(Problem::Invalid)
+pub async fn read_within(patience: Duration, first: First) -> Result<Config, Problem> {
+    let until = Instant::now() + patience;
+    let mut pauses = Pauses::new();
+    loop {
+        let problem = match timeout_at(until, read(first)).await {
+            Ok(Ok(config)) => return Ok(config),
+            Ok(Err(problem)) => problem,
+            Err(_) => return Err(Problem::Unreadable(path()?, io::ErrorKind::TimedOut.into())),
+        };
+        if !problem.may_pass() || Instant::now() >= until {
+            return Err(problem);
+        }
+        pauses.report("reading the configuration", &problem);
+        sleep(pauses.next()).await;
+    }
+}
+
+fn path() -> Result<String, Problem> {
+    env::var("BALANCER_CONFIG").map_err(|_| Problem::Invalid("BALANCER_CONFIG is not set".into()))
 }
 
 fn parse(text: &str, first: First) -> Result<Config, String> {
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -16,6 +16,7 @@
 mod log;
 mod reload;
 mod retry;
+mod signals;
 mod socket;
 
 use backends::Backends;
@@ -24,13 +25,13 @@
 use counter::Counter;
 use discovery::Service;
 use door::Door;
+use signals::{Caught, Signals};
 use springusher::ListKind;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{watch, Semaphore};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, timeout};
@@ -55,41 +56,78 @@
         report(panic);
         std::process::abort();
     }));
-    let config = config::read_within(START_PATIENCE, First::Environment);
-    match config.map_err(|problem| problem.to_string()).and_then(run) {
+    let signals = match Caught::new() {
+        Ok(signals) => signals,
+        Err(error) => return fail(&format!("cannot take signals: {error}")),
+    };
+    match run(signals) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(problem) => {
-            eprintln!("brassport: {problem}");
-            ExitCode::FAILURE
-        }
+        Err(problem) => fail(&problem),
     }
 }
 
-fn run(config: Config) -> Result<(), String> {
-    let build = || tokio::runtime::Builder::new_current_thread().enable_all().build();
+fn fail(problem: &str) -> ExitCode {
+    eprintln!("brassport: {problem}");
+    ExitCode::FAILURE
+}
+
+fn run(signals: Caught) -> Result<(), String> {
+    let build = || {
+        if signals.terminated() {
+            return Ok(None);
+        }
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map(Some)
+    };
     let runtime = retry::blocking(START_PATIENCE, "starting the runtime", build)
         .map_err(|error| format!("cannot start: {error}"))?;
-    LocalSet::new().block_on(&runtime, front_door(config))
+    let Some(runtime) = runtime else { return Ok(()) };
+    let result = LocalSet::new().block_on(&runtime, start(signals));
+    // A file may still be on its way in, for ever.
+    runtime.shutdown_background();
+    result
 }
 
-/// How many descriptors the system lets this process have.
-fn system_descriptors() -> usize {
-    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
-    limit.and_then(|limit| usize::try_from(limit).ok()).unwrap_or(usize::MAX)
+/// Starts the front door and runs it to its end. A SIGTERM until it listens ends the start, as nothing is in hand.
+async fn start(signals: Caught) -> Result<(), String> {
+    let mut signals = signals.wait_on_runtime().map_err(|error| format!("cannot take signals: {error}"))?;
+    let prepared = tokio::select! {
+        biased;
+        () = signals.termination.requested() => return Ok(()),
+        prepared = prepare() => prepared?,
+    };
+    front_door(prepared, signals).await
+}
+
+/// What a front door starts from.
+struct Prepared {
+    config: Config,
+    listener: TcpListener,
+    /// Descriptors for clients and backends.
+    descriptors: Arc<Semaphore>,
 }
 
-async fn front_door(config: Config) -> Result<(), String> {
+async fn prepare() -> Result<Prepared, String> {
+    let config = config::read_within(START_PATIENCE, First::Environment);
+    let config = config.await.map_err(|problem| problem.to_string())?;
     let most = config.sockets.min(system_descriptors());
     let spare = most.checked_sub(OWN_DESCRIPTORS).filter(|spare| *spare > 0);
     let spare = spare.ok_or_else(|| format!("limits.sockets: {most} are too few"))?;
     let descriptors = Arc::new(Semaphore::new(spare.min(Semaphore::MAX_PERMITS)));
-    let take = |kind| signal(kind).map_err(|error| format!("cannot take signals: {error}"));
-    let (mut terminate, hangups) = (take(SignalKind::terminate())?, take(SignalKind::hangup())?);
-    let listener =
-        retry::within(START_PATIENCE, "listening", async || TcpListener::bind(config.listen).await)
-            .await
-            .map_err(|error| format!("cannot listen on {}: {error}", config.listen))?;
+    let bind = async || TcpListener::bind(config.listen).await;
+    let listener = retry::within(START_PATIENCE, "listening", bind).await;
+    let listener = listener.map_err(|error| format!("cannot listen on {}: {error}", config.listen))?;
+    Ok(Prepared { config, listener, descriptors })
+}
+
+/// How many descriptors the system lets this process have.
+fn system_descriptors() -> usize {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    limit.and_then(|limit| usize::try_from(limit).ok()).unwrap_or(usize::MAX)
+}
 
+async fn front_door(prepared: Prepared, signals: Signals) -> Result<(), String> {
+    let Prepared { config, listener, descriptors } = prepared;
+    let Signals { hangups, mut termination } = signals;
     let longest = config.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
     let closing = Duration::try_from_secs_f64(longest / 1000.0).unwrap_or(CLOSING).min(CLOSING);
 
@@ -130,7 +168,7 @@
         discovery.send_replace(config.discovery);
         counter.send_if_modified(|held| std::mem::replace(held, config.counter) != config.counter);
     }));
-    terminate.recv().await;
+    termination.requested().await;
     phase.send_replace(Phase::Leaving);
     sleep(LEAVING).await;
     phase.send_replace(Phase::Closing);
--- a/src/bin/brassport/retry.rs
+++ b/src/bin/brassport/retry.rs
@@ -2,6 +2,7 @@
 
 use crate::log;
 use rustix::io::Errno;
+use std::fmt::Display;
 use std::io::{self, ErrorKind};
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
@@ -55,7 +56,7 @@
     }
 
     /// Logs the first failure: the tries behind it may take a while.
-    fn report(&self, what: &str, error: &io::Error) {
+    pub fn report(&self, what: &str, error: &dyn Display) {
         if self.next == FIRST_PAUSE {
             log::line(format!("{what} does not work for now, trying on: {error}"));
         }
