Read a configuration again that is cut short, as it is still being written

Callers saw: a SIGHUP in the moment in which the file was being rewritten lost the new addresses for good; the gateway asked a discovery whose address closes 4 s later. A start in that moment ended with exit code 1.

Cause: src/bin/brassport/config.rs took JSON that ends too soon for a configuration that makes no sense.

Why it holds: an end of the text within the JSON is a problem of its own that may pass, at a start as at a reload; an object that is cut short can't be read as a whole one. What is whole and makes no sense is final as before.

--- a/src/bin/brassport/config.rs
+++ b/src/bin/brassport/config.rs
@@ -175,15 +175,28 @@
 pub enum Problem {
     /// The file can't be read, for now or for good.
     Unreadable(String, io::Error),
+    /// The file is cut short: it is still being written.
+    Incomplete(serde_json::Error),
     /// Something is missing or makes no sense.
     Invalid(String),
 }
 
+impl From<serde_json::Error> for Problem {
+    fn from(error: serde_json::Error) -> Problem {
+        if error.is_eof() {
+            Problem::Incomplete(error)
+        } else {
+            Problem::Invalid(format!("configuration: {error}"))
+        }
+    }
+}
+
 impl Problem {
     /// Whether it may be gone a moment later without anybody's doing.
     fn may_pass(&self) -> bool {
         match self {
             Problem::Unreadable(_, error) => retry::may_pass(error),
+            Problem::Incomplete(_) => true,
             Problem::Invalid(_) => false,
         }
     }
@@ -193,6 +206,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Problem::Unreadable(path, error) => write!(f, "cannot read {path}: {error}"),
+            Problem::Incomplete(error) => write!(f, "configuration: {error}"),
             Problem::Invalid(text) => f.write_str(text),
         }
     }
@@ -206,10 +220,11 @@
 pub async fn read(first: First) -> Result<Config, Problem> {
     let path = path()?;
     let read_from = path.clone();
-    let read =
-        spawn_blocking(move || fs::read_to_string(read_from)).await.unwrap_or_else(|error| Err(error.into()));
+    let reading = spawn_blocking(move || fs::read(read_from));
+    let read = reading.await.unwrap_or_else(|error| Err(error.into()));
     let text = read.map_err(|error| Problem::Unreadable(path, error))?;
-    parse(&text, first).map_err(Problem::Invalid)
+    let file: File = serde_json::from_slice(&text)?;
+    check(file, first).map_err(Problem::Invalid)
 }
 
 /// The same; what can't be read for a moment is read again until `patience` is over.
@@ -237,8 +252,7 @@
     env::var("BALANCER_CONFIG").map_err(|_| Problem::Invalid("BALANCER_CONFIG is not set".into()))
 }
 
-fn parse(text: &str, first: First) -> Result<Config, String> {
-    let file: File = serde_json::from_str(text).map_err(|error| format!("configuration: {error}"))?;
+fn check(file: File, first: First) -> Result<Config, String> {
     let address = |name: &str, written: Option<String>| {
         let said = env::var(name).ok();
         let text = if first == First::File { written.or(said) } else { said.or(written) };
--- a/src/bin/brassport/reload.rs
+++ b/src/bin/brassport/reload.rs
@@ -7,7 +7,7 @@
 use tokio::time::sleep;
 
 /// Reads the file at each signal, for as long as the program runs. A file that makes no sense changes nothing; one
-/// that can't be read is read again, as the addresses that it moved are about to close.
+/// that can't be read, or is still being written, is read again, as the addresses that it moved are about to close.
 pub async fn follow(mut hangups: Signal, apply: impl Fn(Config)) {
     while hangups.recv().await.is_some() {
         let mut pauses = Pauses::new();
--- a/tests/front_door/discovery.rs
+++ b/tests/front_door/discovery.rs
@@ -136,7 +136,7 @@
     first.next().ok(&list(&[target("s-00000001", backend.address, "ready")]).to_string());
     let mut old = first.next();
 
-    // Half a file changes nothing, and says so once.
+    // Half a file changes nothing, and says so once; it is taken when it is whole, without another signal.
     std::fs::write(&front.file, &config.to_string()[..99]).expect("the file is replaced");
     front.signal("-HUP");
     let mut line = String::new();
@@ -147,9 +147,11 @@
     backend.next().ok("served");
     assert_eq!(client.read().status(), 200);
 
-    // The file goes before BALANCER_DISCOVERY now, and a repeated signal begins the watch once more.
+    // The file goes before BALANCER_DISCOVERY now, and a signal begins the watch once more.
     config["discovery"] = json!(second.address.to_string());
     std::fs::write(&front.file, config.to_string()).expect("the file is replaced");
+    old.wait_for_close();
+    old = second.next();
     for _ in 0..2 {
         front.signal("-HUP");
         old.wait_for_close();
