Write the last line on the log's thread, and wait for it no longer than 50 ms

Callers saw: a gateway whose log nobody read did not end after SIGTERM (10 s later it was there), which holds up a restart; a failed start whose standard error was closed aborted instead of exiting with code 1.

Cause: src/bin/brassport/log.rs, last_line, and main.rs, eprintln and the report of a panic: writes on the main thread, behind a lock that the log's thread holds while it is stuck.

Why it holds: nothing but the log's thread writes to standard error; the end waits for it for a bounded time.

--- a/src/bin/brassport/log.rs
+++ b/src/bin/brassport/log.rs
@@ -6,7 +6,7 @@
 
 use std::fmt::Display;
 use std::io::{self, Write};
-use std::sync::mpsc::{sync_channel, SyncSender};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
 use std::sync::OnceLock;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -18,18 +18,30 @@
 const TRACE_QUEUE: usize = 65_536;
 /// Lines that are written within a second while there is no trace.
 const LINES_PER_SECOND: u32 = 20;
+/// How long the program's end waits until the last line is written.
+const LAST_LINE_PATIENCE: Duration = Duration::from_millis(50);
+
+/// What the writer is handed.
+enum Entry {
+    Line(String),
+    /// One that is always written; its sender hears when it is.
+    Last(String, SyncSender<()>),
+}
 
 /// Writes one line, if there is room for it.
 pub fn line(text: String) {
-    static WRITER: OnceLock<Option<SyncSender<String>>> = OnceLock::new();
-    if let Some(writer) = WRITER.get_or_init(start) {
-        let _ = writer.try_send(text);
+    if let Some(writer) = writer() {
+        let _ = writer.try_send(Entry::Line(text));
     }
 }
 
-/// Writes the last line of all, at once: behind it the program ends.
+/// Writes the last line of all: behind it the program ends, whether or not somebody takes the line.
 pub fn last_line(text: String) {
-    let _ = writeln!(io::stderr(), "brassport: {text}");
+    let (done, written) = sync_channel(1);
+    let handed_over = writer().is_some_and(|writer| writer.try_send(Entry::Last(text, done)).is_ok());
+    if handed_over {
+        let _ = written.recv_timeout(LAST_LINE_PATIENCE);
+    }
 }
 
 /// Writes one step of a request if the trace is on; otherwise nothing is made of it.
@@ -44,26 +56,47 @@
     *TRACES.get_or_init(|| std::env::var(TRACE_VARIABLE).is_ok_and(|value| value == "1"))
 }
 
-fn start() -> Option<SyncSender<String>> {
-    let (queue, most) = if traces() { (TRACE_QUEUE, u32::MAX) } else { (QUEUE, LINES_PER_SECOND) };
-    let (sender, lines) = sync_channel::<String>(queue);
-    let write = move || {
-        let began = Instant::now();
-        let (mut since, mut written) = (began, 0);
-        for line in lines {
-            if since.elapsed() >= Duration::from_secs(1) {
-                (since, written) = (Instant::now(), 0);
+fn writer() -> Option<&'static SyncSender<Entry>> {
+    static WRITER: OnceLock<Option<SyncSender<Entry>>> = OnceLock::new();
+    WRITER.get_or_init(start).as_ref()
+}
+
+fn start() -> Option<SyncSender<Entry>> {
+    let queue = if traces() { TRACE_QUEUE } else { QUEUE };
+    let (sender, entries) = sync_channel(queue);
+    let writer = thread::Builder::new().name("log".into()).stack_size(64 * 1024);
+    writer.spawn(move || write_all(entries)).ok()?;
+    Some(sender)
+}
+
+fn write_all(entries: Receiver<Entry>) {
+    let most = if traces() { u32::MAX } else { LINES_PER_SECOND };
+    let began = Instant::now();
+    let (mut since, mut written) = (began, 0);
+    for entry in entries {
+        if since.elapsed() >= Duration::from_secs(1) {
+            (since, written) = (Instant::now(), 0);
+        }
+        match entry {
+            Entry::Line(text) => {
+                written += 1;
+                if written <= most {
+                    write(began, &text);
+                }
             }
-            written += 1;
-            if written > most {
-                continue;
+            Entry::Last(text, done) => {
+                write(began, &text);
+                let _ = done.send(());
             }
-            let _ = match traces() {
-                true => writeln!(io::stderr(), "brassport: {:.3} {line}", began.elapsed().as_secs_f64()),
-                false => writeln!(io::stderr(), "brassport: {line}"),
-            };
         }
+    }
+}
+
+/// A line that nobody takes is lost.
+fn write(began: Instant, text: &str) {
+    let _ = if traces() {
+        writeln!(io::stderr(), "brassport: {:.3} {text}", began.elapsed().as_secs_f64())
+    } else {
+        writeln!(io::stderr(), "brassport: {text}")
     };
-    thread::Builder::new().name("log".into()).stack_size(64 * 1024).spawn(write).ok()?;
-    Some(sender)
 }
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -27,6 +27,7 @@
 use door::Door;
 use signals::{Caught, Signals};
 use springusher::ListKind;
+use std::backtrace::{Backtrace, BacktraceStatus};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -50,10 +51,14 @@
 const LAST_WORDS: Duration = Duration::from_millis(100);
 
 fn main() -> ExitCode {
-    // Guards against requests stranded by a task that is no more: a panic anywhere ends the process.
-    let report = std::panic::take_hook();
-    std::panic::set_hook(Box::new(move |panic| {
-        report(panic);
+    // Guards against requests stranded by a task that is no more: a panic anywhere ends the process, also where
+    // nobody takes its report.
+    std::panic::set_hook(Box::new(|panic| {
+        let trace = Backtrace::capture();
+        match trace.status() {
+            BacktraceStatus::Captured => log::last_line(format!("{panic}\n{trace}")),
+            _ => log::last_line(panic.to_string()),
+        }
         std::process::abort();
     }));
     let signals = match Caught::new() {
@@ -67,7 +72,7 @@
 }
 
 fn fail(problem: &str) -> ExitCode {
-    eprintln!("brassport: {problem}");
+    log::last_line(problem.to_string());
     ExitCode::FAILURE
 }
 
