--- a/src/counts.rs
+++ b/src/counts.rs
@@ -23,7 +23,7 @@
 const LEARN: f64 = 0.05;
 /// Least chance that it is asked: that it is back has to be noticed.
 const LEAST_ASKED: f64 = 0.02;
-/// Until what the counter would not take back is given back again, at first and, doubled each time, at the most.
+/// Until what the counter would not take back is given back again: at first, and at the most.
 const FIRST_RETURN_PAUSE: Millis = 50.0;
 const LAST_RETURN_PAUSE: Millis = 400.0;
 
@@ -162,8 +162,8 @@
         }
     }
 
-    /// The counter is another one now. Places that requests hold are taken again there, or what goes out there would
-    /// not count what is out; what the old one is owed, or has let out of its buckets, means nothing to it.
+    /// The counter is another one now. Places that requests hold are taken again there, or its gauges would
+    /// stand below what is out; what the old one is owed, or has let out of its buckets, means nothing to it.
     pub fn moved(&mut self) {
         self.returns.owed.clear();
         for ((request, name), amount) in std::mem::take(&mut self.held) {
@@ -224,8 +224,8 @@
 }
 
 impl Returns {
-    /// Notes how a call ended that gave back an amount. One that may have been taken is not made again: a gauge that
-    /// is too low lets more out than its cap, one that is too high serves only until `until`.
+    /// Notes how a call ended that gave back an amount. One that may have been taken is not made again: a
+    /// gauge that is too low lets more out than its cap, one that is too high serves only until `until`.
     fn ended(&mut self, name: CountName, amount: f64, until: Millis, counted: Counted) {
         match counted {
             Counted::Total(_) => self.pause = 0.0,
