Soak: signals in series, files cut short, crowds, areas, a meter, logs that nobody reads

Scenario::draw_wide (--wide) draws what the soak could not see: a meter with delay and quotas as an invariant over the fleet, two areas that are cut off or lost and come back cold, SIGTERM and SIGHUP in series during a drain and SIGHUPs at a start, configurations rewritten in place at a reload and at a start, a counter that moves, crowds at all gateways, also while discovery is silent, 30 s without trouble first, and logs that nobody reads. Seeds of the other draws stay what they were.

--- a/fault-soak/src/client.rs
+++ b/fault-soak/src/client.rs
@@ -4,7 +4,7 @@
 use crate::http::{Broken, Reader};
 use crate::ledger::{BadClient, Carrier, Ending, Ledger, Millis, RequestId, RequestRecord};
 use crate::proxy::reset_on_close;
-use crate::scenario::{Site, PLANS};
+use crate::scenario::{Site, CUSTOMERS, LIMITED_SHARE, PLANS};
 use crate::server::is_served_body;
 use oorandom::Rand64;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -20,8 +20,6 @@
 const SLOW_READING: Duration = Duration::from_millis(300);
 /// Connections that are kept for further requests to one gateway.
 const KEPT: usize = 12;
-/// Customers of each plan.
-const CUSTOMERS: u64 = 4;
 
 /// What a client does with its connection and its request.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -144,7 +142,11 @@
         let id = self.ids.fetch_add(1, Ordering::Relaxed);
         let class = &self.site.classes[rng.rand_range(0..self.site.classes.len() as u64) as usize];
         // Most customers are far from any limit.
-        let plan = if rng.rand_float() < 0.6 { 0 } else { rng.rand_range(0..PLANS.len() as u64) as usize };
+        let plan = if rng.rand_float() < 1.0 - LIMITED_SHARE {
+            0
+        } else {
+            rng.rand_range(0..PLANS.len() as u64) as usize
+        };
         let customer = (plan as u64 + 1) * 0x1000 + rng.rand_range(0..CUSTOMERS);
         let patience = match behaviour {
             Behaviour::Hurried => (1.0 + 40.0 * rng.rand_float()).round(),
--- a/fault-soak/src/discovery.rs
+++ b/fault-soak/src/discovery.rs
@@ -4,6 +4,7 @@
 use crate::http::{Message, Reader};
 use crate::ledger::{Ledger, Millis, Told};
 use crate::proxy::reset_on_close;
+use crate::scenario::area_name;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -42,6 +43,8 @@
     pub uid: String,
     /// Where it is.
     pub endpoint: SocketAddr,
+    /// The area it stands in.
+    pub area: usize,
     /// Its state.
     pub state: State,
     /// Unix time of its latest start, milliseconds; 0 for long ago.
@@ -50,7 +53,7 @@
 
 impl Entry {
     fn json(&self) -> Value {
-        json!({"uid": self.uid, "endpoint": self.endpoint.to_string(), "az": "a", "model": "m", "pod_group": 0,
+        json!({"uid": self.uid, "endpoint": self.endpoint.to_string(), "az": area_name(self.area), "model": "m", "pod_group": 0,
                "state": self.state.word(), "capacity_hint": 1.0, "boot_ms": self.boot_ms})
     }
 }
--- a/fault-soak/src/gateway.rs
+++ b/fault-soak/src/gateway.rs
@@ -7,8 +7,11 @@
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 use std::fs::{self, File};
+use std::future::Future;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::{Arc, Mutex};
@@ -24,6 +27,8 @@
 /// The longest deadline that counts for when SIGKILL comes, and how much later than that it comes.
 const LONGEST_COUNTED: Millis = 3000.0;
 const KILL_AFTER: Millis = 700.0;
+/// One whose log nobody reads is killed so much later: that it does not end must not be for another reason.
+const MORE_FOR_LOG_UNREAD: Millis = 3000.0;
 /// After it was held up it runs at least this long.
 const HOLD_GAP: Duration = Duration::from_millis(300);
 /// A gateway that is not ready by then is given up.
@@ -57,6 +62,7 @@
     life: usize,
     ready: bool,
     terminated: Option<Millis>,
+    log_unread: bool,
 }
 
 /// Whether a gateway can be asked.
@@ -68,6 +74,15 @@
     pub connects: bool,
 }
 
+/// Who takes what a gateway logs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogReader {
+    /// Its file.
+    File,
+    /// A pipe that fills up.
+    Nobody,
+}
+
 /// What a gateway's configuration says beside the site's settings.
 #[derive(Debug, Clone)]
 pub struct Told {
@@ -128,22 +143,45 @@
         Some(Intake { life: state.life, connects })
     }
 
-    /// Writes its configuration.
+    /// Writes its configuration and puts it into place at once.
     pub fn configure(&self, site: &Site, told: &Told) {
+        let half_written = self.config.with_extension("new");
+        fs::write(&half_written, self.configuration(site, told)).expect("the folder takes files");
+        fs::rename(&half_written, &self.config).expect("the folder takes files");
+    }
+
+    /// Rewrites its configuration where it stands: it is cut short until the future that this returns has ended.
+    pub fn configure_in_place(&self, site: &Site, told: &Told, span: Duration) -> impl Future<Output = ()> {
+        let (path, text) = (self.config.clone(), self.configuration(site, told));
+        fs::write(&path, &text[..text.len() / 2]).expect("the folder takes files");
+        async move {
+            sleep(span).await;
+            fs::write(&path, text).expect("the folder takes files");
+        }
+    }
+
+    fn configuration(&self, site: &Site, told: &Told) -> String {
         let config = json!({
             "name": format!("n{}", self.index), "listen": self.address.to_string(),
             "discovery": told.discovery.to_string(), "seed": format!("{:016x}", self.ledger.now().to_bits()),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": site.descriptors},
             "counter": told.counter.to_string(), "known": told.known, "settings": site.settings(self.index),
         });
-        let half_written = self.config.with_extension("new");
-        fs::write(&half_written, config.to_string()).expect("the folder takes files");
-        fs::rename(&half_written, &self.config).expect("the folder takes files");
+        config.to_string()
     }
 
     /// Starts it and waits until it is ready; false if it is not within 30 s.
-    pub async fn start(self: &Arc<Self>, told: &Told) -> bool {
-        let log = File::options().create(true).append(true).open(&self.log).expect("the folder takes files");
+    pub async fn start(self: &Arc<Self>, told: &Told, log: LogReader) -> bool {
+        // Nobody reads from the other end, which stays open for as long as the process may write.
+        let log_unread = log == LogReader::Nobody;
+        let unread = log_unread.then(|| UnixStream::pair().expect("a pair"));
+        let log: Stdio = match &unread {
+            Some((log, _)) => OwnedFd::from(log.try_clone().expect("a descriptor")).into(),
+            None => {
+                let log = File::options().create(true).append(true).open(&self.log);
+                log.expect("the folder takes files").into()
+            }
+        };
         let mut command = Command::new(&self.program);
         command
             .env("BALANCER_NAME", format!("n{}", self.index))
@@ -158,18 +196,25 @@
             command.env("LD_PRELOAD", shim).env("FAULT_SHIM_CONTROL", &self.control.path);
         }
         let mut child = command.spawn().expect("the gateway's program can be started");
-        let life =
-            Life { started: self.ledger.now(), ready: None, terminated: None, killed: None, ended: None };
+        let life = Life {
+            started: self.ledger.now(),
+            log_unread,
+            ready: None,
+            terminated: None,
+            killed: None,
+            ended: None,
+        };
         let number = self.ledger.with(|records| {
             records.lives[self.index].push(life);
             records.lives[self.index].len() - 1
         });
         let pid = child.id().and_then(|id| Pid::from_raw(id as i32));
         *self.state.lock().expect("no one panics while holding it") =
-            Process { pid, life: number, ready: false, terminated: None };
+            Process { pid, life: number, ready: false, terminated: None, log_unread };
         let gateway = self.clone();
         tokio::spawn(async move {
             let status = child.wait().await;
+            drop(unread);
             let now = gateway.ledger.now();
             let success = status.is_ok_and(|status| status.success());
             gateway.ledger.with(|records| records.lives[gateway.index][number].ended = Some((now, success)));
@@ -201,6 +246,16 @@
             .is_ok_and(|answer| answer.is_some_and(|got| got.status() == 200))
     }
 
+    /// Whether it takes a signal by now, or would still be ended by it: before its `main` no program can.
+    pub fn takes(&self, signal: Signal) -> bool {
+        let Some(pid) = self.state.lock().expect("no one panics while holding it").pid else { return false };
+        let status = fs::read_to_string(format!("/proc/{}/status", pid.as_raw_nonzero()));
+        let status = status.unwrap_or_default();
+        let caught = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+        let caught = caught.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok()).unwrap_or_default();
+        caught & (1 << (signal.as_raw() - 1)) != 0
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
         let pid = self.state.lock().expect("no one panics while holding it").pid;
@@ -226,14 +281,20 @@
     pub async fn terminate(&self, longest_deadline: Millis) {
         let Some(life) = self.running_life() else { return };
         let now = self.ledger.now();
-        self.state.lock().expect("no one panics while holding it").terminated = Some(now);
+        let log_unread = {
+            let mut state = self.state.lock().expect("no one panics while holding it");
+            state.terminated = Some(now);
+            state.log_unread
+        };
         self.ledger.with(|records| {
             if let Some(life) = records.lives[self.index].get_mut(life) {
                 life.terminated = Some(now);
             }
         });
         self.signal(Signal::TERM);
-        let grace = Duration::from_secs_f64((longest_deadline.min(LONGEST_COUNTED) + KILL_AFTER) / 1000.0);
+        let more = if log_unread { MORE_FOR_LOG_UNREAD } else { 0.0 };
+        let grace = longest_deadline.min(LONGEST_COUNTED) + KILL_AFTER + more;
+        let grace = Duration::from_secs_f64(grace / 1000.0);
         if timeout(grace, self.wait_for_end(life)).await.is_err() {
             self.kill().await;
         }
--- a/fault-soak/src/invariants.rs
+++ b/fault-soak/src/invariants.rs
@@ -49,6 +49,8 @@
     SlowStart,
     /// A ceiling holds over all gateways.
     Ceiling,
+    /// A quota holds over all gateways, as far as the meter can have told.
+    Quota,
     /// A gateway does not crash, and is ready in time.
     Process,
     /// Bad clients get an error or a close in time.
@@ -99,6 +101,7 @@
     oracle.no_send_to_drained(&mut found);
     oracle.slow_start(&mut found);
     oracle.ceilings(&mut found);
+    oracle.quotas(&mut found);
     oracle.processes(&mut found);
     oracle.bad_clients(&mut found);
     found.sort_by(|one, other| one.at.total_cmp(&other.at));
@@ -290,6 +293,49 @@
         }
     }
 
+    /// A gateway knows nothing of what others send until it is told of a period that lies within its life: the period
+    /// that runs as it starts, the next whole one, the meter's delay, and the way to an answer for this customer.
+    /// What it is asked for by then is not held against it. From then on a window of any length holds the burst and
+    /// the rate, with a tenth more, as the price of sends beyond quotas may be 0.1, and three deviations of chance.
+    fn quotas(&self, found: &mut Vec<Violation>) {
+        let Some(meter) = self.site.meter else { return };
+        let between_answers = 1000.0 * self.site.gateways as f64 / self.site.offered_to_each_quota();
+        let learned_after = 2.0 * meter.period + meter.delay + 2.0 * between_answers + self.slack;
+        let mut sends: HashMap<u64, Vec<(Millis, bool)>> = HashMap::new();
+        for request in self.records.requests.values().filter(|request| PLANS[request.plan] == Plan::Quota) {
+            let whole = self.attempts(request.id).iter().filter_map(|attempt| attempt.whole_at);
+            let Some(at) = whole.reduce(f64::min) else { continue };
+            let ready = self.life(request.gateway, request.life).and_then(|life| life.ready).unwrap_or(at);
+            sends.entry(request.customer).or_default().push((at, at < ready + learned_after));
+        }
+        for (customer, mut sends) in sends {
+            sends.sort_by(|one, other| one.0.total_cmp(&other.0));
+            if let Some((from, to, sent, allowed)) = self.beyond_quota(&sends) {
+                let text = format!("customer {customer:x}: {sent} of {allowed:.1} from {from:.0} ms on");
+                found.push(violation(Rule::Quota, None, to, text));
+            }
+        }
+    }
+
+    /// The first window of sends, each with whether its gateway knew nothing yet, that holds more than it may: where
+    /// it begins and ends, what it holds and what it may hold.
+    fn beyond_quota(&self, sends: &[(Millis, bool)]) -> Option<(Millis, Millis, usize, f64)> {
+        let quota = self.site.quota;
+        for (first, (from, _)) in sends.iter().enumerate() {
+            let (mut sent, mut unknowing) = (0, 0.0);
+            for (to, knows_nothing) in &sends[first..] {
+                sent += 1;
+                unknowing += f64::from(u8::from(*knows_nothing));
+                let expected = quota.burst + 1.1 * quota.rate * (to - from) / 1000.0;
+                let allowed = expected + 3.0 * expected.sqrt() + unknowing;
+                if f64::from(sent) > allowed {
+                    return Some((*from, *to, sent as usize, allowed));
+                }
+            }
+        }
+        None
+    }
+
     fn processes(&self, found: &mut Vec<Violation>) {
         for (gateway, lives) in self.records.lives.iter().enumerate() {
             for (number, life) in lives.iter().enumerate() {
@@ -300,6 +346,11 @@
                 match (life.ended, life.killed, life.terminated) {
                     (Some((at, _)), None, None) => broken(at, "it ended by itself".into()),
                     (Some((at, false)), None, Some(_)) => broken(at, "it ended with an error".into()),
+                    (Some((at, _)), Some(killed), Some(terminated))
+                        if life.log_unread && killed > terminated =>
+                    {
+                        broken(at, "nobody read its log, and it did not end".into());
+                    }
                     _ => {}
                 }
                 let until = life.ready.or(life.ended.map(|(at, _)| at));
--- a/fault-soak/src/ledger.rs
+++ b/fault-soak/src/ledger.rs
@@ -150,6 +150,8 @@
 pub struct Life {
     /// When it was started.
     pub started: Millis,
+    /// Whether nobody reads its log.
+    pub log_unread: bool,
     /// When it first answered `GET /healthz` with 200.
     pub ready: Option<Millis>,
     /// When it was told to end.
--- a/fault-soak/src/main.rs
+++ b/fault-soak/src/main.rs
@@ -31,6 +31,9 @@
     /// Troubles for each second of load.
     #[arg(long, default_value_t = TROUBLES_A_SECOND)]
     density: f64,
+    /// Draws from the wide scenarios: a meter, two areas, long quiet starts, and more kinds of trouble.
+    #[arg(long)]
+    wide: bool,
     /// The folder for configurations and logs.
     #[arg(long, default_value = "target/fault-soak")]
     folder: PathBuf,
@@ -71,8 +74,8 @@
         let folder = arguments.folder.join(format!("seed-{seed}"));
         fs::create_dir_all(&folder)?;
         let setup = Setup { program: arguments.gateway.clone(), shim: Some(shim.clone()), folder };
-        let scenario =
-            Scenario::draw_dense(seed, arguments.gateways, arguments.seconds * 1000.0, arguments.density);
+        let draw = if arguments.wide { Scenario::draw_wide } else { Scenario::draw_dense };
+        let scenario = draw(seed, arguments.gateways, arguments.seconds * 1000.0, arguments.density);
         let report = play(scenario, &setup).await?;
         print(&report, arguments);
         broken += usize::from(!report.violations.is_empty());
--- a/fault-soak/src/run.rs
+++ b/fault-soak/src/run.rs
@@ -3,14 +3,16 @@
 use crate::client::{idle_crowd, Clients};
 use crate::counter::{Counter, Mood};
 use crate::discovery::{Discovery, Entry, State};
-use crate::gateway::{Gateway, Told};
+use crate::gateway::{Gateway, LogReader, Told};
 use crate::invariants::{check, Rule, Violation};
 use crate::ledger::{Ledger, Millis, Records};
+use crate::meter::Meter;
 use crate::proxy::{LineFaults, Proxy};
 use crate::scenario::{Event, Misdeed, Scenario, Site, Trouble};
-use crate::server::{Manners, Server};
+use crate::server::{Manners, Server, Usage};
 use crate::shim::Faults;
 use oorandom::Rand64;
+use rustix::process::Signal;
 use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering};
@@ -29,6 +31,12 @@
 const DRAIN_SPAN: Duration = Duration::from_millis(2500);
 /// Between new configurations in a row.
 const RELOAD_GAP: Duration = Duration::from_millis(60);
+/// A configuration that is rewritten in place is cut short for so long at the most, and at a start.
+const CUT_SHORT: Duration = Duration::from_millis(300);
+const CUT_SHORT_AT_START: Duration = Duration::from_millis(400);
+/// Between signals in series.
+const SERIES_GAP: Duration = Duration::from_millis(70);
+const HANGUPS_AT_START: usize = 6;
 /// How long a held-up process stands still, and from one such time to the next.
 const HOLD: Duration = Duration::from_millis(140);
 const HOLD_PERIOD: Duration = Duration::from_millis(500);
@@ -62,8 +70,9 @@
     /// Servers by the order in which they joined; those that went stay here.
     servers: Mutex<Vec<(Arc<Server>, State)>>,
     discovery: Arc<Discovery>,
-    counter: Counter,
-    counter_line: Proxy,
+    usage: Option<Usage>,
+    /// Where the counter is now.
+    counter: Mutex<Arc<PlacedCounter>>,
     wall_clock_offset: AtomicI64,
     rng: Mutex<Rand64>,
     faults: Mutex<Vec<Faults>>,
@@ -71,6 +80,20 @@
     discovery_addresses: Mutex<Vec<std::net::SocketAddr>>,
 }
 
+/// A counter and the line to it.
+struct PlacedCounter {
+    counter: Counter,
+    line: Proxy,
+}
+
+impl PlacedCounter {
+    async fn start() -> Arc<PlacedCounter> {
+        let counter = Counter::start().await;
+        let line = Proxy::start(Ipv4Addr::new(127, 88, 0, 5), Some(counter.address)).await;
+        Arc::new(PlacedCounter { counter, line })
+    }
+}
+
 /// Plays one scenario.
 ///
 /// # Errors
@@ -79,8 +102,9 @@
     let site = Arc::new(scenario.site.clone());
     let ledger = Arc::new(Ledger::new(site.gateways));
     let discovery = Discovery::new(ledger.clone(), site.mode, site.gateways);
-    let counter = Counter::start().await;
-    let counter_line = Proxy::start(Ipv4Addr::new(127, 88, 0, 5), Some(counter.address)).await;
+    let counter = Mutex::new(PlacedCounter::start().await);
+    let meter = site.meter.map(|settings| Arc::new(Meter::new(settings)));
+    let usage = meter.map(|meter| Usage { meter, site: site.clone() });
     let gateways = start_files(&site, &ledger, setup)?;
     let world = Arc::new(World {
         servers: Mutex::new(Vec::new()),
@@ -93,8 +117,8 @@
         ledger: ledger.clone(),
         gateways,
         discovery,
+        usage,
         counter,
-        counter_line,
     });
     for _ in 0..site.servers {
         let server = world.join_server(None).await;
@@ -153,9 +177,56 @@
     Duration::from_secs_f64(span / 1000.0)
 }
 
+/// How a gateway ends that is restarted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    InOrder,
+    Killed,
+    /// In order, with further signals of both kinds until it has.
+    SignalSeries,
+}
+
+/// How it starts again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Start {
+    Usual,
+    /// Its configuration is cut short for a while.
+    CutShort,
+    /// It is told of a new configuration again and again.
+    Signalled,
+    /// Nobody reads its log.
+    LogUnread,
+}
+
+/// Sends both signals, together and apart, while a gateway ends.
+async fn signal_while_it_ends(gateway: Arc<Gateway>) {
+    loop {
+        sleep(SERIES_GAP).await;
+        gateway.signal(Signal::HUP);
+        gateway.signal(Signal::TERM);
+        sleep(SERIES_GAP).await;
+        gateway.signal(Signal::HUP);
+    }
+}
+
+/// Sends a few SIGHUPs from the first moment on in which a gateway takes them.
+async fn hang_up_at_start(gateway: Arc<Gateway>) {
+    for _ in 0..HANGUPS_AT_START {
+        let taken = async {
+            while !gateway.takes(Signal::HUP) {
+                sleep(Duration::from_micros(200)).await;
+            }
+        };
+        if timeout(Duration::from_secs(1), taken).await.is_ok() {
+            gateway.signal(Signal::HUP);
+        }
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
 impl World {
     fn entry(&self, server: &Server, state: State, boot_ms: i64) -> Entry {
-        Entry { uid: server.uid.clone(), endpoint: server.address(), state, boot_ms }
+        Entry { uid: server.uid.clone(), endpoint: server.address(), area: server.area, state, boot_ms }
     }
 
     /// What all wall clocks say.
@@ -172,7 +243,9 @@
     async fn join_server(&self, capacity: Option<f64>) -> Arc<Server> {
         let seed = self.draw();
         let uid = format!("s-{:08x}", seed as u32);
-        let server = Arc::new(Server::new(uid, self.ledger.clone(), seed).await);
+        let area = self.servers.lock().expect("no one panics while holding it").len() % self.site.areas;
+        let server = Server::new(uid, area, self.ledger.clone(), self.usage.clone(), seed).await;
+        let server = Arc::new(server);
         server.start(capacity).await;
         self.servers.lock().expect("no one panics while holding it").push((server.clone(), State::Ready));
         server
@@ -206,7 +279,7 @@
     fn told(&self, gateway: usize) -> Told {
         Told {
             discovery: self.discovery_addresses.lock().expect("no one panics while holding it")[gateway],
-            counter: self.counter_line.address,
+            counter: self.counter().line.address,
             known: self.discovery.list(gateway),
         }
     }
@@ -224,12 +297,31 @@
         while starts.join_next().await.is_some() {}
     }
 
+    fn counter(&self) -> Arc<PlacedCounter> {
+        self.counter.lock().expect("no one panics while holding it").clone()
+    }
+
     async fn start(&self, gateway: &Arc<Gateway>) {
+        self.start_as(gateway, Start::Usual).await;
+    }
+
+    async fn start_as(&self, gateway: &Arc<Gateway>, start: Start) {
         let told = self.told(gateway.index);
-        gateway.configure(&self.site, &told);
-        if !gateway.start(&told).await {
+        let log = if start == Start::LogUnread { LogReader::Nobody } else { LogReader::File };
+        let writing = if start == Start::CutShort {
+            let rewriting = gateway.configure_in_place(&self.site, &told, CUT_SHORT_AT_START);
+            Some(tokio::spawn(rewriting))
+        } else {
+            gateway.configure(&self.site, &told);
+            None
+        };
+        let signals = (start == Start::Signalled).then(|| tokio::spawn(hang_up_at_start(gateway.clone())));
+        if !gateway.start(&told, log).await {
             self.ledger.note(format!("gateway {} was not ready within 30 s", gateway.index));
         }
+        for task in [writing, signals].into_iter().flatten() {
+            let _ = task.await;
+        }
     }
 
     async fn load(self: Arc<Self>, seed: u64) {
@@ -257,8 +349,24 @@
     async fn one(self: Arc<Self>, event: Event) {
         let lasts = millis(event.lasts);
         match event.trouble {
-            Trouble::Terminate(gateways) => self.restart(&gateways, true).await,
-            Trouble::Kill(gateways) => self.restart(&gateways, false).await,
+            Trouble::Terminate(gateways) => self.restart(&gateways, End::InOrder, Start::Usual).await,
+            Trouble::Kill(gateways) => self.restart(&gateways, End::Killed, Start::Usual).await,
+            Trouble::SignalSeries(gateways) => {
+                self.restart(&gateways, End::SignalSeries, Start::Signalled).await;
+            }
+            Trouble::RewriteAtStart(gateways) => {
+                self.restart(&gateways, End::InOrder, Start::CutShort).await;
+            }
+            Trouble::LogUnread(gateways) => self.restart(&gateways, End::InOrder, Start::LogUnread).await,
+            Trouble::RewriteInPlace => self.reload_in_place().await,
+            Trouble::CounterMoves => {
+                let new = PlacedCounter::start().await;
+                *self.counter.lock().expect("no one panics while holding it") = new;
+                self.reload(false, lasts).await;
+            }
+            Trouble::CrowdEverywhere { silent } => self.crowd_everywhere(silent, lasts).await,
+            Trouble::AreaCut(area) => self.cut(self.in_area(area), lasts).await,
+            Trouble::AreaLost(area) => self.crash(self.in_area(area), lasts).await,
             Trouble::Hold(gateways) => self.hold(&gateways, lasts).await,
             Trouble::Reload { unreadable } => self.reload(unreadable, lasts).await,
             Trouble::ReloadBurst => {
@@ -269,17 +377,15 @@
             }
             Trouble::ReloadAndTerminate(gateways) => {
                 self.reload(false, lasts).await;
-                self.restart(&gateways, true).await;
-                self.restart(&gateways, true).await;
+                self.restart(&gateways, End::InOrder, Start::Usual).await;
+                self.restart(&gateways, End::InOrder, Start::Usual).await;
             }
             Trouble::Replace(count) => self.replace(count).await,
-            Trouble::Crash(count) => self.crash(count, lasts).await,
-            Trouble::Cut(count) => {
-                self.lines(count, LineFaults { cut: true, ..LineFaults::default() }, lasts).await;
-            }
+            Trouble::Crash(count) => self.crash(self.some_ready(count), lasts).await,
+            Trouble::Cut(count) => self.cut(self.some_ready(count), lasts).await,
             Trouble::Trickle => {
                 let faults = LineFaults { cut: false, delay: Duration::from_millis(3), piece: 7 };
-                self.lines(usize::MAX, faults, lasts).await;
+                self.lines(self.all_servers(), faults, lasts).await;
             }
             Trouble::Misbehave(count, misdeed) => self.misbehave(count, misdeed, lasts).await,
             Trouble::DiscoveryDown => {
@@ -299,9 +405,10 @@
                 });
             }
             Trouble::Counter(mood) => {
-                self.counter.behave(mood);
+                let placed = self.counter();
+                placed.counter.behave(mood);
                 sleep(lasts).await;
-                self.counter.behave(Mood::Usual);
+                placed.counter.behave(Mood::Usual);
             }
             Trouble::WallClock(step) => {
                 self.wall_clock_offset.fetch_add(step, Ordering::Relaxed);
@@ -337,7 +444,7 @@
         }
     }
 
-    async fn restart(self: &Arc<Self>, gateways: &[usize], in_order: bool) {
+    async fn restart(self: &Arc<Self>, gateways: &[usize], end: End, start: Start) {
         let mut restarts = tokio::task::JoinSet::new();
         for gateway in gateways {
             let (world, gateway) = (self.clone(), self.gateways[*gateway].clone());
@@ -347,12 +454,17 @@
                 if gateway.intake().is_none() {
                     return;
                 }
-                if in_order {
-                    gateway.terminate(world.site.longest_deadline()).await;
-                } else {
-                    gateway.kill().await;
+                let longest = world.site.longest_deadline();
+                match end {
+                    End::InOrder => gateway.terminate(longest).await,
+                    End::Killed => gateway.kill().await,
+                    End::SignalSeries => {
+                        let series = tokio::spawn(signal_while_it_ends(gateway.clone()));
+                        gateway.terminate(longest).await;
+                        series.abort();
+                    }
                 }
-                world.start(&gateway).await;
+                world.start_as(&gateway, start).await;
             });
         }
         while restarts.join_next().await.is_some() {}
@@ -382,7 +494,7 @@
             self.discovery_addresses.lock().expect("no one panics while holding it")[gateway.index] = address;
             gateway.configure(&self.site, &self.told(gateway.index));
             if gateway.intake().is_some() {
-                gateway.signal(rustix::process::Signal::HUP);
+                gateway.signal(Signal::HUP);
             }
         }
         if unreadable {
@@ -403,8 +515,50 @@
         }
     }
 
-    async fn crash(&self, count: usize, lasts: Duration) {
-        let servers = self.some_ready(count);
+    /// The servers of an area, of which there are others.
+    fn in_area(&self, area: usize) -> Vec<Arc<Server>> {
+        let all = self.all_servers();
+        let here = all.iter().filter(|server| server.area == area).cloned().collect::<Vec<_>>();
+        if here.len() < all.len() {
+            here
+        } else {
+            self.some_ready(here.len())
+        }
+    }
+
+    async fn reload_in_place(&self) {
+        let mut writing = tokio::task::JoinSet::new();
+        for gateway in &self.gateways {
+            let address = self.discovery.listen(gateway.index).await;
+            self.discovery_addresses.lock().expect("no one panics while holding it")[gateway.index] = address;
+            let span = CUT_SHORT.mul_f64((self.draw() % 1000) as f64 / 1000.0);
+            writing.spawn(gateway.configure_in_place(&self.site, &self.told(gateway.index), span));
+            if gateway.intake().is_some() {
+                gateway.signal(Signal::HUP);
+            }
+        }
+        while writing.join_next().await.is_some() {}
+    }
+
+    async fn crowd_everywhere(&self, silent: bool, lasts: Duration) {
+        if silent {
+            self.discovery.behave(|manners| manners.down = true);
+        }
+        let mut crowds = tokio::task::JoinSet::new();
+        for gateway in &self.gateways {
+            crowds.spawn(idle_crowd(gateway.clone(), self.site.descriptors, lasts));
+        }
+        while crowds.join_next().await.is_some() {}
+        if silent {
+            self.discovery.behave(|manners| manners.down = false);
+        }
+    }
+
+    async fn cut(&self, servers: Vec<Arc<Server>>, lasts: Duration) {
+        self.lines(servers, LineFaults { cut: true, ..LineFaults::default() }, lasts).await;
+    }
+
+    async fn crash(&self, servers: Vec<Arc<Server>>, lasts: Duration) {
         servers.iter().for_each(|server| server.crash());
         sleep(lasts).await;
         for server in servers {
@@ -420,8 +574,7 @@
         }
     }
 
-    async fn lines(&self, count: usize, faults: LineFaults, lasts: Duration) {
-        let servers = if count == usize::MAX { self.all_servers() } else { self.some_ready(count) };
+    async fn lines(&self, servers: Vec<Arc<Server>>, faults: LineFaults, lasts: Duration) {
         servers.iter().for_each(|server| server.line.set(faults));
         sleep(lasts).await;
         for server in servers {
--- a/fault-soak/src/scenario.rs
+++ b/fault-soak/src/scenario.rs
@@ -3,6 +3,7 @@
 use crate::counter::Mood;
 use crate::discovery::Mode;
 use crate::ledger::{Effect, Millis};
+use crate::meter::MeterSettings;
 use crate::shim::Faults;
 use oorandom::Rand64;
 use serde_json::{json, Value};
@@ -52,19 +53,43 @@
         }
     }
 
-    fn settings(self) -> Value {
-        let (rate, store, open, ceiling) = match self {
-            Plan::Wide => (1000.0, 2000.0, 0, (0.0, 0.0, 0.0)),
-            Plan::Quota => (15.0, 30.0, 0, (0.0, 0.0, 0.0)),
-            Plan::Capped => (0.0, 0.0, 6, (0.0, 0.0, 0.0)),
-            Plan::Ceiling => (1000.0, 2000.0, 0, (CEILING_RATE, CEILING_STORE, CEILING_SLACK)),
+    /// Units a second that its customers may use; 0 where nothing counts them.
+    pub fn rate(self, quota: Quota) -> f64 {
+        match self {
+            Plan::Wide | Plan::Ceiling => 1000.0,
+            Plan::Quota => quota.rate,
+            Plan::Capped => 0.0,
+        }
+    }
+
+    fn settings(self, quota: Quota) -> Value {
+        let (store, open, ceiling) = match self {
+            Plan::Wide => (2000.0, 0, (0.0, 0.0, 0.0)),
+            Plan::Quota => (quota.burst, 0, (0.0, 0.0, 0.0)),
+            Plan::Capped => (0.0, 6, (0.0, 0.0, 0.0)),
+            Plan::Ceiling => (2000.0, 0, (CEILING_RATE, CEILING_STORE, CEILING_SLACK)),
         };
+        let rate = self.rate(quota);
         json!({"name": self.name(), "unitsPerS": rate, "storeSize": store, "concurrency": open, "price": 1.0,
                "excessWorth": 0.0, "overrunCost": if self == Plan::Quota { 1.0 } else { 0.0 },
                "neverOverRate": ceiling.0, "capDepth": ceiling.1, "tolerance": ceiling.2})
     }
 }
 
+/// The quota of a customer of [`Plan::Quota`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Quota {
+    /// Units a second.
+    pub rate: f64,
+    /// Units that may be saved up.
+    pub burst: f64,
+}
+
+/// Customers of each plan.
+pub const CUSTOMERS: u64 = 4;
+/// The part of the requests that falls on all plans alike; the rest is of [`Plan::Wide`].
+pub const LIMITED_SHARE: f64 = 0.4;
+
 /// The parameters of one site.
 #[derive(Debug, Clone)]
 pub struct Site {
@@ -98,6 +123,12 @@
     pub tip_multiple: f64,
     /// ... in this time.
     pub tip_after: Millis,
+    /// The meter of use, if there is one; else quotas are held by the counter.
+    pub meter: Option<MeterSettings>,
+    /// What customers who press against a quota may use.
+    pub quota: Quota,
+    /// Areas over which servers and gateways are spread.
+    pub areas: usize,
 }
 
 impl Site {
@@ -118,17 +149,24 @@
             })
             .collect();
         json!({
-            "areas": ["a"], "balancers": self.gateways, "ordinal": ordinal, "zone": 0, "tick": 4.0,
+            "areas": (0..self.areas).map(area_name).collect::<Vec<_>>(), "balancers": self.gateways,
+            "ordinal": ordinal, "zone": ordinal % self.areas, "tick": 4.0,
             "registryMode": if self.mode == Mode::Pushed { "pushed" } else { "on_request" },
             "bounds": {"cancel": self.may_cancel, "connIdle": 3000.0, "connectTimeout": 300.0, "maxAttempts": 3,
                        "maxRetryAfter": 400.0, "mayDuplicate": self.may_duplicate, "retryAfter": true},
             "rules": {"cold": self.cold_for, "coldFrom": self.cold_from, "fall": self.tip_after,
                       "stopSendingWithin": self.drain_grace, "tipMultiple": self.tip_multiple},
-            "familyInfo": {"mostUnits": 1, "usePeriod": 0.0, "counter": true, "counterTimeout": 30.0},
-            "classes": classes, "plans": PLANS.map(Plan::settings),
+            "familyInfo": {"mostUnits": 1, "usePeriod": self.meter.map_or(0.0, |meter| meter.period),
+                           "counter": true, "counterTimeout": 30.0},
+            "classes": classes, "plans": PLANS.map(|plan| plan.settings(self.quota)),
         })
     }
 
+    /// Requests a second that a customer of [`Plan::Quota`] offers to all gateways together.
+    pub fn offered_to_each_quota(&self) -> f64 {
+        self.rate * self.gateways as f64 * LIMITED_SHARE / PLANS.len() as f64 / CUSTOMERS as f64
+    }
+
     /// Requests that a warm server handles in a second: the offered load fills part of the fleet.
     pub fn capacity(&self) -> f64 {
         const OFFERED_SHARE: f64 = 0.7;
@@ -141,9 +179,33 @@
     }
 }
 
+/// The name of an area, as lists and settings have it.
+pub fn area_name(area: usize) -> String {
+    char::from(b'a' + area as u8).to_string()
+}
+
 /// Something that goes wrong.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Trouble {
+    /// Gateways are told to end and get further signals of both kinds until they have, and at their next start.
+    SignalSeries(Vec<usize>),
+    /// The configuration is rewritten in place, with the signal while it is cut short.
+    RewriteInPlace,
+    /// Gateways are restarted while their configuration is cut short.
+    RewriteAtStart(Vec<usize>),
+    /// The counter moves, with nothing of what it kept, and a new configuration says so.
+    CounterMoves,
+    /// Idle clients fill the descriptors of all gateways, while agents may be silent.
+    CrowdEverywhere {
+        /// Whether agents are silent meanwhile.
+        silent: bool,
+    },
+    /// An area is cut off.
+    AreaCut(usize),
+    /// An area is lost and comes back cold.
+    AreaLost(usize),
+    /// Gateways are restarted with a log that nobody reads.
+    LogUnread(Vec<usize>),
     /// Gateways are told to end, and start again.
     Terminate(Vec<usize>),
     /// Gateways are killed, and start again.
@@ -323,6 +385,9 @@
             cold_for: dice.between(4000.0, 12_000.0),
             tip_multiple: dice.between(1.6, 2.5),
             tip_after: dice.between(1000.0, 2000.0),
+            meter: None,
+            quota: Quota { rate: 15.0, burst: 30.0 },
+            areas: 1,
         };
         let count = (span / 1000.0 * density) as usize;
         let mut events: Vec<Event> = (0..count)
@@ -337,6 +402,55 @@
     }
 }
 
+/// A quiet start of some runs: what begins late must be borne as well.
+const LONG_QUIET: Millis = 30_000.0;
+/// Of these runs one in so many has it.
+const LONG_QUIET_EVERY: usize = 8;
+/// Customers of [`Plan::Quota`] ask for so many times what they may use.
+const PRESSURE: f64 = 2.5;
+/// A quota's burst, in seconds of its rate.
+const BURST_SECONDS: f64 = 2.0;
+
+impl Scenario {
+    /// Draws a scenario with what [`Scenario::draw_dense`] leaves out: a meter, two areas, a long quiet start, and the
+    /// troubles of [`wide_trouble`]. Its seeds are its own.
+    pub fn draw_wide(seed: u64, gateways: usize, span: Millis, density: f64) -> Scenario {
+        let mut scenario = Scenario::draw_dense(seed, gateways, span, density);
+        let mut dice = Dice(Rand64::new(u128::from(seed) ^ 0x71de));
+        let quiet = if dice.below(LONG_QUIET_EVERY) == 0 { LONG_QUIET } else { 0.0 };
+        let site = &mut scenario.site;
+        site.span += quiet;
+        site.areas = 1 + dice.below(2);
+        if dice.0.rand_float() < 0.7 {
+            let period = dice.between(300.0, 1000.0).round();
+            site.meter = Some(MeterSettings { period, delay: dice.between(50.0, 700.0).round() });
+            let rate = site.offered_to_each_quota() / PRESSURE;
+            site.quota = Quota { rate, burst: BURST_SECONDS * rate };
+        }
+        let site = site.clone();
+        for event in &mut scenario.events {
+            event.at += quiet;
+            if dice.coin() {
+                event.trouble = wide_trouble(&mut dice, &site);
+            }
+        }
+        scenario
+    }
+}
+
+fn wide_trouble(dice: &mut Dice, site: &Site) -> Trouble {
+    match dice.below(9) {
+        0 | 1 => Trouble::SignalSeries(dice.some(site.gateways, 0.3)),
+        2 => Trouble::RewriteInPlace,
+        3 => Trouble::RewriteAtStart(dice.some(site.gateways, 0.3)),
+        4 => Trouble::CounterMoves,
+        5 => Trouble::CrowdEverywhere { silent: dice.coin() },
+        6 => Trouble::AreaCut(dice.below(site.areas)),
+        7 => Trouble::AreaLost(dice.below(site.areas)),
+        _ => Trouble::LogUnread(dice.some(site.gateways, 0.2)),
+    }
+}
+
 fn trouble(dice: &mut Dice, site: &Site) -> Trouble {
     let servers = 1 + dice.below(site.servers / 3);
     match dice.below(20) {
--- a/fault-soak/src/server.rs
+++ b/fault-soak/src/server.rs
@@ -2,7 +2,9 @@
 
 use crate::http::{Broken, Reader};
 use crate::ledger::{AttemptRecord, ColdStart, Ledger, Millis, RequestId};
+use crate::meter::Meter;
 use crate::proxy::{reset_on_close, Proxy};
+use crate::scenario::{Site, PLANS};
 use oorandom::Rand64;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
@@ -51,21 +53,56 @@
 pub struct Server {
     /// Its name on the list.
     pub uid: String,
+    /// The area it stands in.
+    pub area: usize,
     /// The line to it, whose address is on the list.
     pub line: Proxy,
     manners: Arc<Mutex<Manners>>,
     running: Mutex<Option<JoinHandle<()>>>,
     ledger: Arc<Ledger>,
+    usage: Option<Usage>,
     seed: u64,
     starts: Mutex<u64>,
 }
 
+/// What a server tells of customers' use.
+#[derive(Debug, Clone)]
+pub struct Usage {
+    /// The meter that all servers share.
+    pub meter: Arc<Meter>,
+    /// The site, for the plans' rates.
+    pub site: Arc<Site>,
+}
+
+impl Usage {
+    /// Counts a request that has come whole and returns the header that tells of its customer's use.
+    fn count(&self, ledger: &Ledger, id: RequestId) -> String {
+        let asked =
+            ledger.with(|records| records.requests.get(&id).map(|record| (record.customer, record.plan)));
+        let Some((customer, plan)) = asked else { return String::new() };
+        let now = ledger.now();
+        self.meter.count(id, customer, now);
+        let rate = PLANS[plan].rate(self.site.quota);
+        if rate <= 0.0 {
+            return String::new();
+        }
+        format!("Usage-Percent: {:.0}\r\n", self.meter.percent(customer, rate, now))
+    }
+}
+
 impl Server {
     /// A server that is not running yet.
-    pub async fn new(uid: String, ledger: Arc<Ledger>, seed: u64) -> Server {
+    pub async fn new(
+        uid: String,
+        area: usize,
+        ledger: Arc<Ledger>,
+        usage: Option<Usage>,
+        seed: u64,
+    ) -> Server {
         let line = Proxy::start(Ipv4Addr::new(127, 88, 0, 1), None).await;
         let manners = Arc::new(Mutex::new(Manners { slow: 1.0, ..Manners::default() }));
-        Server { uid, line, manners, running: Mutex::new(None), ledger, seed, starts: Mutex::new(0) }
+        let (running, starts) = (Mutex::new(None), Mutex::new(0));
+        Server { uid, area, line, manners, running, ledger, usage, seed, starts }
     }
 
     /// Starts it; `capacity` is set if it starts cold and the list tells of it.
@@ -82,14 +119,20 @@
             self.ledger.with(|records| records.cold_starts.push(start));
         }
         let (uid, ledger, manners) = (self.uid.clone(), self.ledger.clone(), self.manners.clone());
+        let usage = self.usage.clone();
         let mut rng = Rand64::new(u128::from(self.seed) << 32 | u128::from(nth));
         let task = tokio::spawn(async move {
             let mut connections = tokio::task::JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
                 while connections.try_join_next().is_some() {}
                 let rng = Rand64::new(u128::from(rng.rand_u64()));
-                let connection =
-                    Connection { uid: uid.clone(), ledger: ledger.clone(), manners: manners.clone(), rng };
+                let connection = Connection {
+                    uid: uid.clone(),
+                    ledger: ledger.clone(),
+                    usage: usage.clone(),
+                    manners: manners.clone(),
+                    rng,
+                };
                 connections.spawn(connection.serve(stream));
             }
         });
@@ -119,6 +162,7 @@
 struct Connection {
     uid: String,
     ledger: Arc<Ledger>,
+    usage: Option<Usage>,
     manners: Arc<Mutex<Manners>>,
     rng: Rand64,
 }
@@ -203,7 +247,8 @@
         }
         self.ledger.attempt(place, |attempt| attempt.ran = true);
         let work = WORK_MS * manners.slow * (0.3 + 1.4 * self.rng.rand_float());
-        let (name, treatment) = self.treatment(&manners, id);
+        let used = self.usage.as_ref().map_or_else(String::new, |usage| usage.count(&self.ledger, id));
+        let (name, treatment) = self.treatment(&manners, id, &used);
         self.ledger.attempt(place, |attempt| attempt.treatment = name);
         // Whoever gives the attempt up closes the connection meanwhile.
         tokio::select! {
@@ -213,10 +258,10 @@
         self.carry_out(reader, treatment, place).await
     }
 
-    fn treatment(&mut self, manners: &Manners, id: RequestId) -> (&'static str, Treatment) {
+    fn treatment(&mut self, manners: &Manners, id: RequestId, used: &str) -> (&'static str, Treatment) {
         let filling = if self.rng.rand_float() < manners.big { self.rng.rand_range(0..60_000) } else { 0 };
         let body = served_body(id, &self.uid, filling as usize);
-        let good = answer("200 OK", "", &body);
+        let good = answer("200 OK", used, &body);
         let mut left = self.rng.rand_float();
         let mut falls = |chance: f64| {
             left -= chance;
--- a/fault-soak/tests/oracle.rs
+++ b/fault-soak/tests/oracle.rs
@@ -2,7 +2,8 @@
 
 use fault_soak::invariants::{check, Rule};
 use fault_soak::ledger::*;
-use fault_soak::scenario::{Scenario, Site};
+use fault_soak::meter::MeterSettings;
+use fault_soak::scenario::{Quota, Scenario, Site};
 
 const ID: RequestId = 7;
 
@@ -47,7 +48,14 @@
 }
 
 fn records(request: RequestRecord, attempts: Vec<AttemptRecord>) -> Records {
-    let life = Life { started: 0.0, ready: Some(20.0), terminated: None, killed: Some(9000.0), ended: None };
+    let life = Life {
+        started: 0.0,
+        log_unread: false,
+        ready: Some(20.0),
+        terminated: None,
+        killed: Some(9000.0),
+        ended: None,
+    };
     Records {
         requests: [(ID, request)].into(),
         attempts,
@@ -169,6 +177,34 @@
     let in_order =
         |life: &mut Life| (life.killed, life.terminated, life.ended) = (None, Some(1.0), Some((3.0, true)));
     assert_eq!(with(in_order), []);
+    let stuck = |life: &mut Life| {
+        (life.log_unread, life.terminated, life.killed, life.ended) =
+            (true, Some(1.0), Some(7000.0), Some((7001.0, false)));
+    };
+    assert_eq!(with(stuck), [Rule::Process]);
+}
+
+#[test]
+fn quotas_hold_over_all_gateways_once_they_can_know() {
+    let mut site = site();
+    site.meter = Some(MeterSettings { period: 500.0, delay: 200.0 });
+    site.quota = Quota { rate: 10.0, burst: 20.0 };
+    let broken_by = |sends: u64, from: Millis, gap: Millis| {
+        let mut all = records(request(Effect::Free), vec![]);
+        for id in 1..=sends {
+            let at = from + gap * id as f64;
+            let answer = Some((Ending::Answer { status: 200, genuine: true }, at + 50.0));
+            let record =
+                RequestRecord { id, plan: 1, sent_at: at - 5.0, ending: answer, ..request(Effect::Free) };
+            all.requests.insert(id, record);
+            all.attempts.push(AttemptRecord { request: Some(id), ..attempt(at) });
+        }
+        check(&site, &all).into_iter().map(|violation| violation.rule).collect::<Vec<_>>()
+    };
+    // 20 and 1.1 x 10 x 4 s make 64, and three roots of that 88.
+    assert_eq!(broken_by(85, 6000.0, 4000.0 / 85.0), []);
+    assert_eq!(broken_by(110, 6000.0, 4000.0 / 110.0), [Rule::Quota]);
+    assert_eq!(broken_by(110, 100.0, 5.0), [], "no reading can have told yet");
 }
 
 #[test]
--- a/tests/front_door/reload.rs
+++ b/tests/front_door/reload.rs
@@ -3,6 +3,8 @@
 use crate::peers::*;
 use fault_soak::shim::Faults;
 use serde_json::{json, Value};
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
 use std::path::Path;
 use std::process::{Command, Stdio};
 use std::thread;
@@ -109,8 +111,8 @@
 fn a_configuration_that_makes_no_sense_is_told_once_and_changes_nothing() {
     let (backend, first, second) = (Peer::start(), Peer::start(), Peer::start());
     let mut config = config(first.address, list(&[target("s-00000001", backend.address, "ready")]));
-    let (log, writer) = std::io::pipe().expect("a pipe");
-    let front = Front::start_with(&config, Stdio::from(writer));
+    let (log, writer) = UnixStream::pair().expect("a pair");
+    let front = Front::start_with(&config, Stdio::from(OwnedFd::from(writer)));
     let _call = first.next();
     config["discovery"] = json!(second.address.to_string());
     config["settings"]["plans"][0]["unitsPerS"] = json!(-1.0);
