Take a configuration that ends within a number for one still being written

Cause: src/bin/brassport/config.rs asked serde_json whether the text had ended too soon, which it denies where the end cuts a number off (1. or 2e or -).

Why it holds: a syntax error at the very end of a text whose last byte goes on a number is an end. The test cuts a configuration behind every byte, and has whole texts that make no sense; seen to fail before at '{"cores":1.'.

--- a/src/bin/brassport/config.rs
+++ b/src/bin/brassport/config.rs
@@ -181,16 +181,6 @@
     Invalid(String),
 }
 
-impl From<serde_json::Error> for Problem {
-    fn from(error: serde_json::Error) -> Problem {
-        if error.is_eof() {
-            Problem::Incomplete(error)
-        } else {
-            Problem::Invalid(format!("configuration: {error}"))
-        }
-    }
-}
-
 impl Problem {
     /// Whether it may be gone a moment later without anybody's doing.
     fn may_pass(&self) -> bool {
@@ -223,8 +213,26 @@
     let reading = spawn_blocking(move || fs::read(read_from));
     let read = reading.await.unwrap_or_else(|error| Err(error.into()));
     let text = read.map_err(|error| Problem::Unreadable(path, error))?;
-    let file: File = serde_json::from_slice(&text)?;
-    check(file, first).map_err(Problem::Invalid)
+    check(parse(&text)?, first).map_err(Problem::Invalid)
+}
+
+fn parse(text: &[u8]) -> Result<File, Problem> {
+    serde_json::from_slice(text).map_err(|error| {
+        if error.is_eof() || is_cut_number(text, &error) {
+            Problem::Incomplete(error)
+        } else {
+            Problem::Invalid(format!("configuration: {error}"))
+        }
+    })
+}
+
+/// Whether the end of the text cuts a number off, which is told as an invalid number and not as an end.
+fn is_cut_number(text: &[u8], error: &serde_json::Error) -> bool {
+    let lines = text.iter().filter(|byte| **byte == b'\n').count() + 1;
+    let columns = text.iter().rev().take_while(|byte| **byte != b'\n').count();
+    let at_the_end = (error.line(), error.column()) >= (lines, columns);
+    let in_number = text.last().is_some_and(|byte| byte.is_ascii_digit() || b"+-.eE".contains(byte));
+    error.is_syntax() && at_the_end && in_number
 }
 
 /// The same; what can't be read for a moment is read again until `patience` is over.
@@ -346,3 +354,6 @@
         ceiling_slack: told.tolerance,
     }
 }
+
+#[cfg(test)]
+mod tests;
