--- a/fault-soak/src/discovery.rs
+++ b/fault-soak/src/discovery.rs
@@ -2,11 +2,11 @@
 //! that gateways make. An agent may be silent, forget open watches, reset them, or write in small pieces.
 
 use crate::http::{Message, Reader};
-use crate::ledger::{Ledger, Millis, Told};
+use crate::ledger::{Ledger, Millis, StartTold, Told};
 use crate::proxy::reset_on_close;
 use crate::scenario::area_name;
 use serde_json::{json, Value};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -107,6 +107,8 @@
     ledger: Arc<Ledger>,
     mode: Mode,
     history: Mutex<Vec<Entry>>,
+    /// Starts that gateways were told of, by gateway and place in the history.
+    starts_told: Mutex<HashSet<(usize, usize)>>,
     agents: Vec<Agent>,
 }
 
@@ -122,7 +124,8 @@
             told_from: Mutex::new(0.0),
         };
         let agents = (0..gateways).map(|_| agent()).collect();
-        Arc::new(Discovery { ledger, mode, history: Mutex::new(Vec::new()), agents })
+        let (history, starts_told) = (Mutex::default(), Mutex::default());
+        Arc::new(Discovery { ledger, mode, history, starts_told, agents })
     }
 
     /// Changes the list; each agent hears of it after its part of `lag`.
@@ -189,6 +192,14 @@
         let told_from = *self.agents[gateway].told_from.lock().expect("no one panics while holding it");
         let at = self.ledger.now().max(told_from);
         let history = self.history.lock().expect("no one panics while holding it");
+        let mut starts_told = self.starts_told.lock().expect("no one panics while holding it");
+        for (place, entry) in history.iter().enumerate().take(to).skip(from) {
+            let started = entry.state == State::Ready && entry.boot_ms != 0;
+            if started && starts_told.insert((gateway, place)) {
+                let told = StartTold { gateway, server: entry.uid.clone(), at };
+                self.ledger.with(|records| records.starts_told.push(told));
+            }
+        }
         for entry in history[from..to].iter().filter(|entry| entry.state != State::Ready) {
             let server = entry.uid.clone();
             self.ledger.with(|records| {
--- a/fault-soak/src/ledger.rs
+++ b/fault-soak/src/ledger.rs
@@ -145,6 +145,17 @@
     pub capacity: f64,
 }
 
+/// The start of a server, as a gateway was told of it.
+#[derive(Debug, Clone)]
+pub struct StartTold {
+    /// The gateway.
+    pub gateway: usize,
+    /// The server's name.
+    pub server: String,
+    /// From when on the gateway counts as told.
+    pub at: Millis,
+}
+
 /// One life of a gateway process.
 #[derive(Debug, Clone)]
 pub struct Life {
@@ -190,6 +201,8 @@
     pub told: Vec<Told>,
     /// Starts of servers.
     pub cold_starts: Vec<ColdStart>,
+    /// The same, as gateways were told of them.
+    pub starts_told: Vec<StartTold>,
     /// Lives by gateway.
     pub lives: Vec<Vec<Life>>,
     /// Bad clients.
