Give a reading near a period's turn to the period that own sends fit better

Cause: src/meter.rs, told: the end of a period and the delay are learned on a grid of a tenth of the period; a reading within that of the turn was taken for the next period's, and that one's own was dropped as already told. What the wrong one told beyond own sends seemed to come through other gateways (units 11.0 own 3.0 elsewhere 8.0).

Why it holds: within the grid's error both periods are weighed by what was sent from here in each.

--- a/src/control.rs
+++ b/src/control.rs
@@ -405,7 +405,7 @@
         }
         let units = used * plan.rate * period / 1000.0;
         self.meter.learn(now, units, &customer.sends);
-        let to = self.meter.told(now);
+        let to = self.meter.told(now, units, |from, to| customer.sent(from, to));
         if to <= customer.read {
             return;
         }
--- a/src/meter.rs
+++ b/src/meter.rs
@@ -16,6 +16,8 @@
 const DOUBT: f64 = 1.0;
 /// Most units of misfit that one reading counts for: what other gateways sent must not drown the rest.
 const MOST_MISFIT: f64 = 2.0;
+/// How far, in places, the end that was found may lie from the true one: half the way to the next place.
+const MOST_ERROR: f64 = 0.5;
 /// Part of the misfit that stays at each reading: the last thousand or so count, should the delay change.
 const KEEP: f64 = 0.999;
 
@@ -37,13 +39,28 @@
         MeterClock { period, misfit, best }
     }
 
-    pub fn told(&self, now: Millis) -> Millis {
+    /// The end of the period that a reading of so many units tells of now. Where it is told so near to the moment
+    /// at which the next period's readings begin that it may be of either, it is of the one that what was sent
+    /// from here fits better; `sent` tells that of a period.
+    pub fn told(&self, now: Millis, units: f64, sent: impl Fn(Millis, Millis) -> f64) -> Millis {
         if self.period <= 0.0 {
             return now;
         }
         let part = self.period / PARTS as f64;
         let (end, delay) = ((self.best / DELAYS) as f64 * part, (self.best % DELAYS) as f64 * part);
-        ((now - delay - end) / self.period).floor() * self.period + end
+        let periods = (now - delay - end) / self.period;
+        let likely = periods.floor() * self.period + end;
+        let off = periods - periods.round();
+        if off.abs() * PARTS as f64 >= MOST_ERROR {
+            return likely;
+        }
+        let other = if off >= 0.0 { likely - self.period } else { likely + self.period };
+        let misfit = |to: Millis| (units - sent(to - self.period, to)).abs();
+        if misfit(other) < misfit(likely) {
+            other
+        } else {
+            likely
+        }
     }
 
     pub fn delay(&self) -> f64 {
