--- a/src/meter.rs
+++ b/src/meter.rs
@@ -39,9 +39,9 @@
         MeterClock { period, misfit, best }
     }
 
-    /// The end of the period that a reading of so many units tells of now. Where it is told so near to the moment
-    /// at which the next period's readings begin that it may be of either, it is of the one that what was sent
-    /// from here fits better; `sent` tells that of a period.
+    /// The end of the period that a reading of so many units tells of now. Where it is told so near to the
+    /// moment at which the next period's readings begin that it may be of either, it is of the one that what
+    /// was sent from here fits better; `sent` tells that of a period.
     pub fn told(&self, now: Millis, units: f64, sent: impl Fn(Millis, Millis) -> f64) -> Millis {
         if self.period <= 0.0 {
             return now;
