--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -26,7 +26,7 @@
 use discovery::Service;
 use door::Door;
 use signals::{Caught, Signals};
-use springusher::ListKind;
+use springusher::{ListKind, Settings};
 use std::backtrace::{Backtrace, BacktraceStatus};
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -130,12 +130,25 @@
     limit.and_then(|limit| usize::try_from(limit).ok()).unwrap_or(usize::MAX)
 }
 
+/// How long requests in hand may take once nothing new is taken.
+fn closing_time(settings: &Settings) -> Duration {
+    let longest = settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
+    Duration::try_from_secs_f64(longest / 1000.0).unwrap_or(CLOSING).min(CLOSING)
+}
+
+fn discovery_service(settings: &Settings) -> Service {
+    if settings.list_on_request {
+        return Service::Shared { doors: settings.gateways };
+    }
+    let grace = Duration::try_from_secs_f64(settings.drain_grace / 1000.0);
+    Service::Own { grace: grace.unwrap_or(Duration::MAX) }
+}
+
+/// Serves until it is told to end and nothing is in hand.
 async fn front_door(prepared: Prepared, signals: Signals) -> Result<(), String> {
     let Prepared { config, listener, descriptors } = prepared;
     let Signals { hangups, mut termination } = signals;
-    let longest = config.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
-    let closing = Duration::try_from_secs_f64(longest / 1000.0).unwrap_or(CLOSING).min(CLOSING);
-
+    let closing = closing_time(&config.settings);
     let backends = Rc::new(Backends::new(descriptors.clone(), config.connect_timeout, config.idle_timeout));
     let (counter, line) = Counter::new(config.counter_timeout);
     let (settings, zones) = (config.settings.clone(), config.names.zones.clone());
@@ -148,12 +161,7 @@
     door.servers(ListKind::Cached, config.known);
     spawn_local(door.clone().keep_time());
     let (discovery, seen) = watch::channel(config.discovery);
-    let service = match &config.settings {
-        settings if settings.list_on_request => Service::Shared { doors: settings.gateways },
-        settings => Service::Own {
-            grace: Duration::try_from_secs_f64(settings.drain_grace / 1000.0).unwrap_or(Duration::MAX),
-        },
-    };
+    let service = discovery_service(&config.settings);
     spawn_local(discovery::follow(seen, door.clone(), known, service, config.seed));
     let sweeper = backends.clone();
     spawn_local(async move { sweeper.sweep().await });
--- a/src/control.rs
+++ b/src/control.rs
@@ -62,11 +62,12 @@
 /// Attempts a server, of all gateways, that make no queue: up to an own part of that the room is not asked,
 /// for idle servers tell nothing and a door once shut would stay shut.
 const IDLE: f64 = 3.0;
-/// Shrinks the limit on work in flight at each late answer; a timely one grows it by `STEP` attempts, doubled
-/// at a limit of `CREW`: a fair share for each gateway while it is small, one late in five at any size.
+/// Shrinks the limit on work in flight at each late answer; a timely one grows it by `STEP` attempts, twice that
+/// at a limit of `STEP_DOUBLES_AT`: a fair share for each gateway while it is small, one late in five at any
+/// size.
 const SHRINK: f64 = 0.95;
 const STEP: f64 = 0.05;
-const CREW: f64 = 5.0;
+const STEP_DOUBLES_AT: f64 = 5.0;
 /// Further attempts for each first one: the retry budget.
 const RETRY_SHARE: f64 = 0.15;
 /// What one costs that starts while another may be at work, which it adds to, in those that replace one.
@@ -98,7 +99,7 @@
 
 impl Open {
     /// Until when a further attempt may begin, as far as what it might repeat goes.
-    fn licensed_until(&self, effect: Effect) -> Millis {
+    fn may_repeat_until(&self, effect: Effect) -> Millis {
         match (effect, self.attempts.iter().find(|attempt| attempt.may_have_run)) {
             (_, None) | (Effect::Free, _) => f64::INFINITY,
             (Effect::Once, Some(_)) => f64::NEG_INFINITY,
@@ -243,7 +244,7 @@
                 (RETURNS, _) => self.counts.return_owed(self.now),
                 _ => actions.push(Action::FollowServers),
             },
-            Event::Servers { kind, entries } => self.roster(kind, entries, actions),
+            Event::Servers { kind, entries } => self.update_servers(kind, entries, actions),
             Event::Counted { name, counted } => self.counted(name, counted, actions),
             Event::WallClock { ahead } => self.counts.set_clock(ahead),
             Event::CounterMoved => self.counts.moved(),
@@ -283,7 +284,7 @@
             return;
         }
         let share = self.without_counter(&request);
-        self.toss(&request, share, actions);
+        self.admit_by_chance(&request, share, actions);
     }
 
     /// The share of such requests that the quota lets in as far as is known without the counter's word.
@@ -297,16 +298,16 @@
     }
 
     fn asks_counter(&mut self, request: &Request) -> bool {
-        self.settings.counter && request.spread > 1 && self.counts.bears(self.rng.rand_float())
+        self.settings.counter && request.spread > 1 && self.counts.is_asked(self.rng.rand_float())
     }
 
-    /// Tosses the coin for a request of a customer of whose requests the quota lets that share in.
-    fn toss(&mut self, request: &Request, share: f64, actions: &mut Vec<Action>) {
+    /// Admits a request at random, where the quota lets that share of its customer's requests in.
+    fn admit_by_chance(&mut self, request: &Request, share: f64, actions: &mut Vec<Action>) {
         let waited = if request.repeat { self.now - self.requests[&request.id].arrived } else { 0.0 };
         let (class, answer) = (self.settings.classes[request.class], self.answer_time[request.class]);
         let full = self.now < self.full_at + class.aim;
-        let flight = self.young(class.aim);
-        let idle = !full && self.rng.rand_float() < self.idle_part - self.young(f64::INFINITY);
+        let flight = self.recent_attempts(class.aim);
+        let idle = !full && self.rng.rand_float() < self.idle_part - self.recent_attempts(f64::INFINITY);
         // Guards against a surge that is in before its late answers are: beyond the limit on work in flight
         // the chance falls, to nothing at two deviations more.
         let slack = 2.0 * self.limit.sqrt() + 1.0;
@@ -441,8 +442,8 @@
         self.room_at = self.now;
         if timely {
             self.room = (self.room + GROWTH * (self.room + PROBE) * weight).min(1.0);
-            if 2.0 * (self.young(aim) + 1.0) >= self.limit {
-                self.limit += if self.slow_start { 1.0 } else { STEP * (1.0 + self.limit / CREW) };
+            if 2.0 * (self.recent_attempts(aim) + 1.0) >= self.limit {
+                self.limit += if self.slow_start { 1.0 } else { STEP * (1.0 + self.limit / STEP_DOUBLES_AT) };
             }
         } else {
             self.slow_start = false;
@@ -451,7 +452,8 @@
         }
     }
 
-    fn young(&self, aim: Millis) -> f64 {
+    /// Own attempts out that were sent within that time.
+    fn recent_attempts(&self, aim: Millis) -> f64 {
         self.fleet.sent_after(self.now - aim) as f64
     }
 
@@ -563,7 +565,7 @@
             Told::Bucket(within) => {
                 let share = within.map(|within| f64::from(u8::from(within)));
                 let share = share.unwrap_or_else(|| self.without_counter(&request));
-                self.toss(&request, share, actions);
+                self.admit_by_chance(&request, share, actions);
             }
             Told::Places(Some(taken)) if taken > f64::from(self.settings.plans[request.plan].open) => {
                 let wait = self.mean_answer() * (0.5 + self.rng.rand_float());
@@ -602,7 +604,7 @@
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(entry) = self.fleet.entry(to) else { return };
         let effect = self.settings.classes[open.request.class].effect;
-        let start_by = open.licensed_until(effect) - 2.0 * self.settings.tick;
+        let start_by = open.may_repeat_until(effect) - 2.0 * self.settings.tick;
         self.fleet.began(to, self.now);
         open.held = false;
         open.attempts.push(Attempt { to: entry, sent: self.now, out: true, may_have_run: true });
@@ -624,7 +626,7 @@
     fn may_try_again(&self, open: &Open) -> bool {
         let class = &self.settings.classes[open.request.class];
         let out = open.attempts.iter().any(|attempt| attempt.out);
-        self.now < open.licensed_until(class.effect) - 2.0 * self.settings.tick
+        self.now < open.may_repeat_until(class.effect) - 2.0 * self.settings.tick
             && (self.may_copy(open) || !out)
             && open.attempts.len() < self.settings.max_attempts as usize
             && self.retry_budget >= if out { COPY_COST } else { 1.0 }
@@ -757,7 +759,8 @@
         }
     }
 
-    fn roster(&mut self, kind: ListKind, entries: Vec<ServerEntry>, actions: &mut Vec<Action>) {
+    /// Takes in the list of servers, or changes to it.
+    fn update_servers(&mut self, kind: ListKind, entries: Vec<ServerEntry>, actions: &mut Vec<Action>) {
         if self.settings.list_on_request {
             match kind {
                 ListKind::Cached => actions.push(Action::FollowServers),
--- a/src/counts.rs
+++ b/src/counts.rs
@@ -104,7 +104,7 @@
     }
 
     /// Whether the counter is asked, by a coin between 0 and 1.
-    pub fn bears(&self, coin: f64) -> bool {
+    pub fn is_asked(&self, coin: f64) -> bool {
         coin < self.asked
     }
 
