--- a/src/control.rs
+++ b/src/control.rs
@@ -62,9 +62,9 @@
 /// Attempts a server, of all gateways, that make no queue: up to an own part of that the room is not asked,
 /// for idle servers tell nothing and a door once shut would stay shut.
 const IDLE: f64 = 3.0;
-/// Shrinks the limit on work in flight at each late answer; a timely one grows it by `STEP` attempts, twice that
-/// at a limit of `STEP_DOUBLES_AT`: a fair share for each gateway while it is small, one late in five at any
-/// size.
+/// Shrinks the limit on work in flight at each late answer; a timely one grows it by `STEP` attempts, twice
+/// that at a limit of `STEP_DOUBLES_AT`: a fair share for each gateway while it is small, one late in five at
+/// any size.
 const SHRINK: f64 = 0.95;
 const STEP: f64 = 0.05;
 const STEP_DOUBLES_AT: f64 = 5.0;
