--- a/fault-soak/src/discovery.rs
+++ b/fault-soak/src/discovery.rs
@@ -4,7 +4,7 @@
 use crate::http::{Message, Reader};
 use crate::ledger::{Ledger, Millis, StartTold, Told};
 use crate::proxy::reset_on_close;
-use crate::scenario::area_name;
+use crate::site::area_name;
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, HashSet};
 use std::net::{Ipv4Addr, SocketAddr};
--- a/fault-soak/src/gateway.rs
+++ b/fault-soak/src/gateway.rs
@@ -2,8 +2,8 @@
 
 use crate::http::Reader;
 use crate::ledger::{Ledger, Life, Millis};
-use crate::scenario::Site;
 use crate::shim::{Control, Faults};
+use crate::site::Site;
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 use std::fs::{self, File};
--- a/fault-soak/src/invariants.rs
+++ b/fault-soak/src/invariants.rs
@@ -3,7 +3,7 @@
 use crate::ledger::{
     AttemptRecord, Carrier, ColdStart, Effect, Ending, Life, Millis, Records, RequestId, RequestRecord,
 };
-use crate::scenario::{Plan, Site, CEILING_RATE, CEILING_SLACK, CEILING_STORE, PLANS};
+use crate::site::{Plan, Site, CEILING_RATE, CEILING_SLACK, CEILING_STORE, PLANS};
 use std::collections::HashMap;
 use std::fmt;
 
--- a/fault-soak/src/lib.rs
+++ b/fault-soak/src/lib.rs
@@ -19,3 +19,5 @@
 pub mod scenario;
 pub mod server;
 pub mod shim;
+pub mod site;
+mod troubles;
--- a/fault-soak/src/server.rs
+++ b/fault-soak/src/server.rs
@@ -4,7 +4,7 @@
 use crate::ledger::{AttemptRecord, ColdStart, Ledger, Millis, RequestId};
 use crate::meter::Meter;
 use crate::proxy::{reset_on_close, Proxy};
-use crate::scenario::{Site, PLANS};
+use crate::site::{Site, PLANS};
 use oorandom::Rand64;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
--- a/fault-soak/tests/oracle.rs
+++ b/fault-soak/tests/oracle.rs
@@ -3,7 +3,8 @@
 use fault_soak::invariants::{check, Rule};
 use fault_soak::ledger::*;
 use fault_soak::meter::MeterSettings;
-use fault_soak::scenario::{Quota, Scenario, Site};
+use fault_soak::scenario::Scenario;
+use fault_soak::site::{Quota, Site};
 
 const ID: RequestId = 7;
 
