--- a/tests/front_door/discovery.rs
+++ b/tests/front_door/discovery.rs
@@ -207,8 +207,5 @@
     let text = serde_json::to_string_pretty(&list(&targets)).expect("it is JSON");
     agent.next().ok(&text.replace("  ", "        "));
     agent.next();
-    let mut client = front.client();
-    client.send(&get(""));
-    backend.next().ok("served");
-    assert_eq!(client.read().status(), 200);
+    front.serves_from(&backend);
 }
--- a/tests/front_door/peers.rs
+++ b/tests/front_door/peers.rs
@@ -312,6 +312,13 @@
         stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
         Client { stream }
     }
+    /// A request of a new client is answered by that backend.
+    pub fn serves_from(&self, backend: &Peer) {
+        let mut client = self.client();
+        client.send(&get(""));
+        backend.next().ok("served");
+        assert_eq!(client.read().status(), 200);
+    }
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
--- a/tests/front_door/reload.rs
+++ b/tests/front_door/reload.rs
@@ -6,9 +6,9 @@
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
 use std::path::Path;
-use std::process::{Command, Stdio};
+use std::process::{Child, Command, Stdio};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A start is held up for so long: much longer than a process needs until its `main` runs.
 const HELD_UP: Duration = Duration::from_millis(1000);
@@ -42,10 +42,7 @@
     }
     faulty.control.set(Faults::default());
     let front = Front::listening(child, &config, file);
-    let mut client = front.client();
-    client.send(&get(""));
-    backend.next().ok("served");
-    assert_eq!(client.read().status(), 200);
+    front.serves_from(&backend);
 }
 
 // The same with SIGTERM (`signal: 15 (SIGTERM)`): an end that was asked for is none with an error.
@@ -65,6 +62,39 @@
     }
 }
 
+/// Whether a process takes SIGHUP, the last of the signals that `main` takes first of all.
+fn takes_signals(child: &Child) -> bool {
+    const SIGHUP_BIT: u64 = 1;
+    let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).expect("it is there");
+    let caught = status.lines().find_map(|line| line.strip_prefix("SigCgt:")).expect("the line is there");
+    u64::from_str_radix(caught.trim(), 16).expect("a mask") & SIGHUP_BIT != 0
+}
+
+#[test]
+fn signals_in_any_order_at_any_moment_of_a_start_end_it_in_order() {
+    let moments = (0..12).map(|moment| Duration::from_micros(400 * moment));
+    let ending: Vec<(Duration, Child)> = moments
+        .map(|moment| {
+            let config = config(closed_port(), list(&[target("s-00000001", closed_port(), "ready")]));
+            let child = spawn(&write_config(&config), &config, Stdio::inherit());
+            let until = Instant::now() + PATIENCE;
+            while !takes_signals(&child) {
+                assert!(Instant::now() < until, "it takes no signals");
+                thread::sleep(Duration::from_micros(100));
+            }
+            thread::sleep(moment);
+            for name in ["-HUP", "-TERM", "-HUP", "-TERM"] {
+                signal(&child, name);
+            }
+            (moment, child)
+        })
+        .collect();
+    for (moment, mut child) in ending {
+        let status = end_within(&mut child, AT_ONCE).expect("it ends");
+        assert!(status.success(), "{moment:?} behind the moment at which it takes signals: {status}");
+    }
+}
+
 #[test]
 fn a_file_that_is_newer_than_the_one_read_at_the_start_is_taken() {
     let (first, second) = (Peer::start(), Peer::start());
@@ -98,10 +128,7 @@
         front.signal("-HUP");
         thread::sleep(Duration::from_millis(300));
         // What was in force stays so.
-        let mut client = front.client();
-        client.send(&get(""));
-        backend.next().ok("served");
-        assert_eq!(client.read().status(), 200);
+        front.serves_from(&backend);
         std::fs::write(&front.file, config.to_string()).expect("the rest is written");
         second.next();
     }
@@ -141,10 +168,7 @@
         assert_eq!(child.try_wait().expect("the process is there"), None, "it has ended");
         std::fs::write(&file, config.to_string()).expect("the rest is written");
         let front = Front::listening(child, &config, file);
-        let mut client = front.client();
-        client.send(&get(""));
-        backend.next().ok("served");
-        assert_eq!(client.read().status(), 200);
+        front.serves_from(&backend);
     }
 }
 
--- a/tests/front_door/system_calls.rs
+++ b/tests/front_door/system_calls.rs
@@ -93,10 +93,7 @@
     thread::sleep(Duration::from_millis(700));
     faulty.control.set(Faults::default());
     let front = Front::listening(child, &config, file);
-    let mut client = front.client();
-    client.send(&get(""));
-    backend.next().ok("served");
-    assert_eq!(client.read().status(), 200);
+    front.serves_from(&backend);
 }
 
 #[test]
