--- a/fault-soak/src/scenario.rs
+++ b/fault-soak/src/scenario.rs
@@ -236,8 +236,8 @@
 const BURST_SECONDS: f64 = 2.0;
 
 impl Scenario {
-    /// Draws a scenario with what [`Scenario::draw_dense`] leaves out: a meter, two areas, a long quiet start, and the
-    /// troubles of its own. Its seeds are its own.
+    /// Draws a scenario with what [`Scenario::draw_dense`] leaves out: a meter, two areas, a long quiet start, and
+    /// further kinds of trouble. The same seed draws another scenario there.
     pub fn draw_wide(seed: u64, gateways: usize, span: Millis, density: f64) -> Scenario {
         let mut scenario = Scenario::draw_dense(seed, gateways, span, density);
         let mut dice = Dice(Rand64::new(u128::from(seed) ^ 0x71de));
--- a/src/bin/brassport/config.rs
+++ b/src/bin/brassport/config.rs
@@ -216,6 +216,7 @@
     check(parse(&text)?, first).map_err(Problem::Invalid)
 }
 
+/// The text as a configuration, its values not checked yet.
 fn parse(text: &[u8]) -> Result<File, Problem> {
     serde_json::from_slice(text).map_err(|error| {
         if error.is_eof() || is_cut_number(text, &error) {
@@ -235,7 +236,8 @@
     error.is_syntax() && at_the_end && in_number
 }
 
-/// The same; what can't be read for a moment is read again until `patience` is over.
+/// Reads the configuration as [`read`] does; what can't be read for a moment, or is still being written, is read again
+/// until `patience` is over.
 ///
 /// # Errors
 /// What is missing or makes no sense, or that the file can't be read.
