--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -138,7 +138,7 @@
 
 fn discovery_service(settings: &Settings) -> Service {
     if settings.list_on_request {
-        return Service::Shared { doors: settings.gateways };
+        return Service::Shared { gateways: settings.gateways };
     }
     let grace = Duration::try_from_secs_f64(settings.drain_grace / 1000.0);
     Service::Own { grace: grace.unwrap_or(Duration::MAX) }
--- a/tests/front_door/discovery.rs
+++ b/tests/front_door/discovery.rs
@@ -212,6 +212,29 @@
     front.serves_from(&backend);
 }
 
+// What a gateway did not hear can be told from its log: when the last word came, and which revision it holds.
+#[test]
+fn the_log_tells_when_discovery_is_lost_and_when_it_is_back() {
+    let (backend, agent) = (Peer::start(), Peer::start());
+    let known = list(&[target("s-00000001", backend.address, "ready")]);
+    let mut front = Front::start_with(&config(agent.address, known.clone()), Stdio::piped());
+    let log = BufReader::new(front.child.stderr.take().expect("a pipe"));
+    let mut lines = log.lines().map(|line| line.expect("a line"));
+    agent.next().ok(&known.to_string());
+    agent.next().break_off("");
+    assert!(lines
+        .next()
+        .expect("a line")
+        .starts_with("brassport: discovery is lost: the connection broke; revision held 1, "));
+    agent.next().break_off("");
+    let mut later = known;
+    later["rev"] = json!(7);
+    agent.next().ok(&later.to_string());
+    let line = lines.next().expect("a line");
+    assert!(line.starts_with("brassport: discovery is back: revision 7, after "), "{line}");
+    assert!(line.ends_with(" s without word"), "{line}");
+}
+
 // A watch has ended and the next one is not open yet, as the process is held up for 0.14 s just then; meanwhile the agent
 // hears that a server drains, and falls silent. What the agent has counts as told, whether or not a watch is open, and
 // this process goes on sending to the server for as long as the agent is silent (soak, wide seed 40027: `sent 2300 ms
