Confirm each watch; withdraw the list where an agent fell silent before one was confirmed

Cause: what the agent gets while no watch is open counts as told; if the agent falls silent before the next watch, nobody hears it, and the gateway could not tell that state from any other silence. Why this works: 5 ms behind the beginning of each watch a second connection asks what is newer and need not wait; its answer shows that nothing came between two watches unheard. Without it the list is withdrawn 0.75 of the grace after the last moment that is known to be heard, until the agent answers. An agent that falls silent behind a confirmed watch leaves the list in force. The pause of 20 ms between an answer and the next call, in which no watch was open, counts from the beginning of a watch now, and not at all behind a whole list. Two new ones. Three existing ones leave the confirming calls, which may come between any others, unanswered; what they want of every other call is as before.

--- a/src/bin/brassport/discovery/call.rs
+++ b/src/bin/brassport/discovery/call.rs
@@ -37,6 +37,15 @@
             }
         }
     }
+
+    /// How long discovery had this at the least before it wrote that answer, which came after `took`: news are
+    /// written at once, and a watch that ends without any has waited to its end.
+    pub fn least_wait(self, answer: &List, took: Duration) -> Duration {
+        match self {
+            Query::Watch { wait, .. } if answer.targets.is_empty() && took >= wait => wait,
+            _ => Duration::ZERO,
+        }
+    }
 }
 
 /// What came of a call.
--- a/src/bin/brassport/discovery/contact.rs
+++ b/src/bin/brassport/discovery/contact.rs
@@ -1,7 +1,9 @@
-//! When discovery was last heard, and what the log tells of it.
+//! When discovery was last heard, and since when the list held may be older than what discovery has.
 
 use crate::log;
+use std::cell::Cell;
 use std::fmt;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// Why a call brought no list.
@@ -28,39 +30,65 @@
     }
 }
 
-/// When discovery was last heard. The list in force may be as old as that, and no other place knows.
+/// The one place that knows how old the list held may be.
 #[derive(Debug)]
 pub struct Contact {
     /// Before the first answer: the start.
-    last_heard: Instant,
-    revision: Option<u64>,
-    lost: bool,
+    last_heard: Cell<Instant>,
+    revision: Cell<Option<u64>>,
+    lost: Cell<bool>,
+    unconfirmed_since: Cell<Option<Instant>>,
+    changed: Notify,
 }
 
 impl Contact {
     /// Nothing was heard yet; `revision` is that of a list held from an earlier life.
     pub fn new(revision: Option<u64>) -> Contact {
-        Contact { last_heard: Instant::now(), revision, lost: false }
+        Contact {
+            last_heard: Cell::new(Instant::now()),
+            revision: Cell::new(revision),
+            lost: Cell::new(false),
+            unconfirmed_since: Cell::new(None),
+            changed: Notify::new(),
+        }
     }
 
-    /// Notes an answer, and logs it if discovery had been lost.
-    pub fn heard(&mut self, revision: u64) {
-        let silence = self.last_heard.elapsed().as_secs_f64();
-        if std::mem::take(&mut self.lost) {
+    /// Notes an answer that was written at `written` at the earliest, and logs it if discovery had been lost. What
+    /// discovery got later is not known until the next watch is confirmed.
+    pub fn heard(&self, revision: u64, written: Instant) {
+        let silence = self.last_heard.replace(Instant::now()).elapsed().as_secs_f64();
+        if self.lost.take() {
             log::line(format!("discovery is back: revision {revision}, after {silence:.2} s without word"));
         }
-        self.last_heard = Instant::now();
-        self.revision = Some(revision);
+        self.revision.set(Some(revision));
+        self.unconfirmed_since.set(Some(written));
+        self.changed.notify_one();
+    }
+
+    /// Notes that discovery was there while a watch was open: what it had before has been heard.
+    pub fn confirmed(&self) {
+        self.last_heard.set(Instant::now());
+        self.unconfirmed_since.set(None);
     }
 
     /// Notes a call that failed, and logs the first one since an answer.
-    pub fn lost(&mut self, loss: Loss) {
-        if !std::mem::replace(&mut self.lost, true) {
-            let silence = self.last_heard.elapsed().as_secs_f64();
-            let held = self.revision.map_or("none".to_string(), |revision| revision.to_string());
+    pub fn lost(&self, loss: Loss) {
+        if !self.lost.replace(true) {
+            let silence = self.last_heard.get().elapsed().as_secs_f64();
+            let held = self.revision.get().map_or("none".to_string(), |revision| revision.to_string());
             log::line(format!(
                 "discovery is lost: {loss}; revision held {held}, {silence:.2} s without word"
             ));
         }
     }
+
+    /// Since when discovery may have had changes that no watch was open for; `None` where it had none.
+    pub fn unconfirmed_since(&self) -> Option<Instant> {
+        self.unconfirmed_since.get()
+    }
+
+    /// Waits until there may be another answer to that.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
 }
--- a/src/bin/brassport/discovery/list.rs
+++ b/src/bin/brassport/discovery/list.rs
@@ -14,6 +14,13 @@
     pub targets: Vec<Target>,
 }
 
+impl List {
+    /// A whole list with no server on it.
+    pub fn empty() -> List {
+        List { rev: 0, all: true, targets: Vec::new() }
+    }
+}
+
 /// One server on the list.
 #[derive(Deserialize)]
 pub struct Target {
--- a/src/bin/brassport/discovery/schedule.rs
+++ b/src/bin/brassport/discovery/schedule.rs
@@ -1,5 +1,6 @@
 //! When discovery is called, and how long each call is waited for.
 
+use super::call::Query;
 use oorandom::Rand32;
 use std::time::Duration;
 
@@ -14,6 +15,8 @@
 const OWN_OVERDUE_PART: f64 = 0.2;
 const OWN_FIRST_BACK_OFF_PART: f64 = 0.1;
 const OWN_LAST_BACK_OFF_PART: f64 = 0.2;
+/// The part of that time for which the list may be sent by while the agent may have more.
+const OWN_UNCONFIRMED_PART: f64 = 0.75;
 /// The least that is taken for that time: calls must not keep the gateway busy.
 const LEAST_GRACE: Duration = Duration::from_millis(250);
 /// Where all gateways call one service: after a call that failed, the next one comes within so long for
@@ -46,14 +49,15 @@
 pub struct Schedule {
     rng: Rand32,
     /// How long a watch may wait for news, and how long an answer may take beyond that.
-    pub wait: Duration,
+    wait: Duration,
     overdue: Duration,
     /// Pauses after failures: the first one's most, the last one's, the next one's.
     first: Duration,
     last: Duration,
     next: Duration,
     /// Whether the service is shared, so that calls are spared.
-    pub shared: bool,
+    shared: bool,
+    most_unconfirmed: Option<Duration>,
 }
 
 impl Schedule {
@@ -76,16 +80,35 @@
                 LAST_BACK_OFF_PER_GATEWAY * gateways,
             ),
         };
-        let shared = matches!(service, Service::Shared { .. });
-        Schedule { rng: Rand32::new(seed), wait, overdue, first, last, next: first, shared }
+        let (shared, most_unconfirmed) = match service {
+            Service::Own { grace } => (false, Some(grace.mul_f64(OWN_UNCONFIRMED_PART))),
+            Service::Shared { .. } => (true, None),
+        };
+        let rng = Rand32::new(seed);
+        Schedule { rng, wait, overdue, first, last, next: first, shared, most_unconfirmed }
+    }
+
+    /// How long a watch may wait for news.
+    pub fn wait(&self) -> Duration {
+        self.wait
+    }
+
+    /// Whether one service answers all gateways, so that calls are spared.
+    pub fn is_shared(&self) -> bool {
+        self.shared
+    }
+
+    /// For how long the list may be sent by while the agent may have more: a part of the grace of drains, as a
+    /// gateway may be held up on its way to a send. `None` where only what was written counts as told.
+    pub fn most_unconfirmed(&self) -> Option<Duration> {
+        self.most_unconfirmed
     }
 
     /// How long a call is waited for. One for the whole list is answered at once.
-    pub fn patience(&self, watches: bool) -> Duration {
-        if watches {
-            self.wait + self.overdue
-        } else {
-            self.overdue
+    pub fn patience(&self, query: Query) -> Duration {
+        match query {
+            Query::Whole => self.overdue,
+            Query::Watch { wait, .. } => wait + self.overdue,
         }
     }
 
@@ -112,6 +135,11 @@
 mod tests {
     use super::*;
 
+    /// How long a watch is waited for.
+    fn watch_patience(schedule: &Schedule) -> Duration {
+        schedule.patience(Query::Watch { after: 1, wait: schedule.wait() })
+    }
+
     /// Calls that `gateways` make in each second from their common start on if every one of them fails.
     fn calls(gateways: u32, seconds: usize) -> Vec<usize> {
         let mut calls = vec![0; seconds];
@@ -139,10 +167,10 @@
         for grace in [300, 1000, 2000].map(Duration::from_millis) {
             let mut schedule = Schedule::new(Service::Own { grace }, 7);
             // Its silence ends right after it swallowed a call: the watch, or any of those that follow.
-            let mut blind = schedule.patience(true) + schedule.pause(schedule.patience(true));
+            let mut blind = watch_patience(&schedule) + schedule.pause(watch_patience(&schedule));
             for _ in 0..1000 {
                 assert!(blind <= grace.mul_f64(0.75), "unheard for {blind:?} of {grace:?}");
-                blind = schedule.patience(false) + schedule.pause(schedule.patience(false));
+                blind = schedule.patience(Query::Whole) + schedule.pause(schedule.patience(Query::Whole));
             }
         }
     }
@@ -151,7 +179,7 @@
     fn a_shared_watch_that_fell_silent_is_opened_anew_long_before_its_news_count_as_told() {
         for gateways in [3, 100, 300] {
             let mut schedule = Schedule::new(Service::Shared { gateways }, u64::from(gateways));
-            let reopened = schedule.patience(true) + schedule.pause(schedule.patience(true));
+            let reopened = watch_patience(&schedule) + schedule.pause(watch_patience(&schedule));
             assert!(reopened <= Duration::from_millis(4000), "{gateways} gateways: after {reopened:?}");
         }
     }
@@ -160,7 +188,7 @@
         for gateways in [2, 30, 300, 350, 1024] {
             let mut schedule = Schedule::new(Service::Shared { gateways }, u64::from(gateways));
             // Refused or turned away at once, reset or spoilt on the way, given up: in any order, and again.
-            let longest = schedule.patience(true);
+            let longest = watch_patience(&schedule);
             for n in 0..3000 {
                 let took = longest.mul_f64(f64::from(n * 7 % 11) / 10.0);
                 let blind = took + schedule.pause(took);
--- /dev/null
+++ b/src/bin/brassport/discovery/watch.rs
@@ -0,0 +1,210 @@
+//! The watch on discovery.
+
+use super::call::{ask, Outcome, Query};
+use super::contact::{Contact, Loss};
+use super::list::List;
+use super::schedule::{Schedule, Service};
+use crate::door::Door;
+use crate::link::Link;
+use crate::log;
+use springusher::ListKind;
+use std::cell::{Cell, RefCell};
+use std::future::pending;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::watch::Receiver;
+use tokio::time::{sleep, sleep_until, timeout, Instant};
+
+/// From the beginning of a watch to the next one at the least: an agent that answers at once, whatever it is
+/// asked, must not keep the gateway busy.
+const PACE: Duration = Duration::from_millis(20);
+/// From the beginning of a watch to the call that confirms it: the agent has the watch by then.
+const CONFIRM_AFTER: Duration = Duration::from_millis(5);
+/// What lines of the trace are about.
+const SUBJECT: &str = "discovery";
+
+/// Follows the list of servers.
+///
+/// What an agent of the gateway's own has counts as told, whether or not a watch is open, and an agent that falls
+/// silent tells it no more. So each watch is confirmed by a call on a second connection, which is answered at once:
+/// what came before the watch has been heard then, and what comes later is written to it. Where no such answer
+/// comes, servers may drain unheard, and after a part of the grace the list is withdrawn until it is there again.
+pub struct Watcher {
+    door: Rc<Door>,
+    schedule: RefCell<Schedule>,
+    contact: Contact,
+    /// The revision held, where changes to it may be asked for.
+    held: Cell<Option<u64>>,
+}
+
+impl Watcher {
+    /// A watcher that holds the list of that revision, if any; `seed` is for the jitter. Where calls are to be
+    /// spared, what is newer is all that is asked for.
+    pub fn new(door: Rc<Door>, known: Option<u64>, service: Service, seed: u64) -> Watcher {
+        let schedule = Schedule::new(service, seed);
+        let held = known.filter(|_| schedule.is_shared());
+        Watcher {
+            door,
+            schedule: RefCell::new(schedule),
+            contact: Contact::new(known),
+            held: Cell::new(held),
+        }
+    }
+
+    /// Watches for ever, from the start again wherever discovery moves to.
+    pub async fn follow(self, address: Receiver<SocketAddr>) {
+        tokio::join!(self.watch_wherever(address), self.withdraw_unconfirmed());
+    }
+
+    async fn watch_wherever(&self, mut address: Receiver<SocketAddr>) {
+        loop {
+            let at = *address.borrow_and_update();
+            tokio::select! {
+                () = self.watch(at) => {}
+                moved = address.changed() => if moved.is_err() { return },
+            }
+            // Another place may number its revisions otherwise.
+            self.held.set(None);
+            self.schedule.borrow_mut().reset();
+        }
+    }
+
+    /// Watches at one address. Whatever discovery does, the list held stays in force, unless it is withdrawn.
+    async fn watch(&self, address: SocketAddr) {
+        let mut links = Links::default();
+        loop {
+            let began = Instant::now();
+            let watches = self.held.get().is_some();
+            match self.call(&mut links, address).await {
+                Outcome::List(list) => {
+                    self.take_in(list);
+                    if watches {
+                        sleep_until(began + PACE).await;
+                    }
+                }
+                // An agent may fall silent any moment with news that count as told: no time is lost here.
+                Outcome::Unmade => sleep(PACE).await,
+                Outcome::Busy => {
+                    links = Links::default();
+                    self.pause(began).await;
+                }
+                Outcome::Lost(loss) => {
+                    links = Links::default();
+                    self.contact.lost(loss);
+                    self.held.set(self.held.get().filter(|_| self.schedule.borrow().is_shared()));
+                    self.pause(began).await;
+                }
+            }
+        }
+    }
+
+    /// Asks for the whole list, or for what is newer than the revision held.
+    async fn call(&self, links: &mut Links, address: SocketAddr) -> Outcome {
+        let Some(after) = self.held.get() else {
+            return self.ask(&mut links.list, address, Query::Whole).await;
+        };
+        let wait = self.schedule.borrow().wait();
+        let watch = self.ask(&mut links.list, address, Query::Watch { after, wait });
+        if self.schedule.borrow().is_shared() {
+            return watch.await;
+        }
+        tokio::select! {
+            biased;
+            outcome = watch => outcome,
+            loss = self.confirm(&mut links.confirmation, address, after) => Outcome::Lost(loss),
+        }
+    }
+
+    /// Makes one call. Guards against an agent that is silent: a call is given up.
+    async fn ask(&self, link: &mut Option<Link>, address: SocketAddr, query: Query) -> Outcome {
+        let began = Instant::now();
+        log::trace(SUBJECT, || format!("{address} is asked: {}", query.path()));
+        let patience = self.schedule.borrow().patience(query);
+        let outcome = timeout(patience, ask(link, address, query)).await;
+        let outcome = outcome.unwrap_or(Outcome::Lost(Loss::Silent));
+        let took = began.elapsed();
+        log::trace(SUBJECT, || format!("after {:.1} ms: {outcome}", took.as_secs_f64() * 1000.0));
+        if let Outcome::List(list) = &outcome {
+            self.contact.heard(list.rev, began + query.least_wait(list, took));
+        }
+        outcome
+    }
+
+    /// Confirms a watch that has begun, and waits for ever; returns where its agent can't be reached any more.
+    async fn confirm(&self, kept: &mut Option<Link>, address: SocketAddr, after: u64) -> Loss {
+        sleep(CONFIRM_AFTER).await;
+        // A link that is dropped in the middle of a call can't be used again.
+        let mut link = kept.take();
+        loop {
+            match ask(&mut link, address, Query::Watch { after, wait: Duration::ZERO }).await {
+                Outcome::List(list) => {
+                    *kept = link;
+                    log::trace(SUBJECT, || format!("the watch is confirmed: {list}"));
+                    self.contact.confirmed();
+                    if list.rev > after {
+                        self.pass_on(list);
+                    }
+                    return pending().await;
+                }
+                Outcome::Unmade => sleep(PACE).await,
+                Outcome::Busy => return Loss::Silent,
+                Outcome::Lost(loss) => return loss,
+            }
+        }
+    }
+
+    /// Takes in the answer to a watch or to a call for the whole list.
+    fn take_in(&self, list: List) {
+        self.schedule.borrow_mut().reset();
+        // Changes to a revision older than the one held are changes to another list.
+        let is_based = list.all || self.held.get().is_some_and(|held| held <= list.rev);
+        self.held.set(is_based.then_some(list.rev));
+        if is_based {
+            self.pass_on(list);
+        }
+    }
+
+    fn pass_on(&self, list: List) {
+        let kind = if list.all { ListKind::Full } else { ListKind::Delta };
+        self.door.servers(kind, list);
+    }
+
+    /// Pauses behind a call that failed.
+    async fn pause(&self, began: Instant) {
+        let pause = self.schedule.borrow_mut().pause(began.elapsed());
+        sleep(pause).await;
+    }
+
+    /// Withdraws the list whenever it has been unconfirmed for too long.
+    async fn withdraw_unconfirmed(&self) {
+        let Some(most) = self.schedule.borrow().most_unconfirmed() else { return };
+        loop {
+            let until = self.contact.unconfirmed_since().and_then(|since| since.checked_add(most));
+            match until {
+                None => self.contact.changed().await,
+                Some(until) if until > Instant::now() => tokio::select! {
+                    () = sleep_until(until) => {}
+                    () = self.contact.changed() => {}
+                },
+                Some(_) => self.withdraw(),
+            }
+        }
+    }
+
+    fn withdraw(&self) {
+        log::line("no server is sent to: discovery fell silent as no watch was open".to_string());
+        self.contact.confirmed();
+        self.held.set(None);
+        self.door.servers(ListKind::Full, List::empty());
+    }
+}
+
+/// The connections to discovery, as far as they stand.
+#[derive(Default)]
+struct Links {
+    /// For lists and watches.
+    list: Option<Link>,
+    /// For the calls that confirm watches.
+    confirmation: Option<Link>,
+}
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -23,7 +23,7 @@
 use clients::{Desk, Phase};
 use config::{Config, First};
 use counter::Counter;
-use discovery::Service;
+use discovery::{Service, Watcher};
 use door::Door;
 use signals::{Caught, Signals};
 use springusher::{ListKind, Settings};
@@ -162,7 +162,7 @@
     spawn_local(door.clone().keep_time());
     let (discovery, seen) = watch::channel(config.discovery);
     let service = discovery_service(&config.settings);
-    spawn_local(discovery::follow(seen, door.clone(), known, service, config.seed));
+    spawn_local(Watcher::new(door.clone(), known, service, config.seed).follow(seen));
     let sweeper = backends.clone();
     spawn_local(async move { sweeper.sweep().await });
 
--- a/tests/front_door/discovery.rs
+++ b/tests/front_door/discovery.rs
@@ -7,7 +7,7 @@
 use std::process::Stdio;
 use std::sync::atomic::Ordering;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 #[test]
 fn healthz_tells_whether_it_can_serve() {
@@ -97,7 +97,7 @@
     // The agent began anew and numbers from 1 again.
     let gone = [target("s-00000001", backend.address, "gone")];
     call.ok(&json!({"rev": 2, "all": false, "targets": gone}).to_string());
-    let call = agent.next();
+    let call = next_list_call(&agent);
     assert_eq!(call.request.line, "GET /v1/servers HTTP/1.1", "the whole list is asked for");
     let mut client = front.client();
     client.send(&get(""));
@@ -221,20 +221,69 @@
     let log = BufReader::new(front.child.stderr.take().expect("a pipe"));
     let mut lines = log.lines().map(|line| line.expect("a line"));
     agent.next().ok(&known.to_string());
-    agent.next().break_off("");
+    next_list_call(&agent).break_off("");
     assert!(lines
         .next()
         .expect("a line")
         .starts_with("brassport: discovery is lost: the connection broke; revision held 1, "));
-    agent.next().break_off("");
+    next_list_call(&agent).break_off("");
     let mut later = known;
     later["rev"] = json!(7);
-    agent.next().ok(&later.to_string());
+    next_list_call(&agent).ok(&later.to_string());
     let line = lines.next().expect("a line");
     assert!(line.starts_with("brassport: discovery is back: revision 7, after "), "{line}");
     assert!(line.ends_with(" s without word"), "{line}");
 }
 
+/// A gateway with one server, a grace of 1 s for drains, and an agent that has told it the list and holds its watch open.
+fn watched(backend: &Peer, agent: &Peer) -> (Front, Exchange) {
+    let known = list(&[target("s-00000001", backend.address, "ready")]);
+    let mut config = config(agent.address, known.clone());
+    config["settings"]["rules"]["stopSendingWithin"] = json!(1000.0);
+    let front = Front::start(&config);
+    agent.next().ok(&known.to_string());
+    let watch = agent.next();
+    assert_eq!(watch.request.line, "GET /v1/servers?after=1&wait_ms=400 HTTP/1.1");
+    (front, watch)
+}
+
+// Servers are sent to through an outage of discovery: what the agent had was heard before.
+#[test]
+fn an_agent_that_falls_silent_behind_a_watch_that_was_confirmed_leaves_the_list_in_force() {
+    let (backend, agent) = (Peer::start(), Peer::start());
+    let (front, _watch) = watched(&backend, &agent);
+    let confirmation = agent.next();
+    assert_eq!(confirmation.request.line, "GET /v1/servers?after=1&wait_ms=0 HTTP/1.1");
+    confirmation.ok(&json!({"rev": 1, "all": false, "targets": []}).to_string());
+    thread::sleep(Duration::from_millis(1500));
+    front.serves_from(&backend);
+}
+
+// The agent fell silent before the watch was confirmed: what it has may have drained for as long as the grace.
+#[test]
+fn a_list_that_may_be_old_is_withdrawn_within_the_grace_and_back_with_the_agents_next_answer() {
+    let (backend, agent) = (Peer::start(), Peer::start());
+    let (front, _watch) = watched(&backend, &agent);
+    front.serves_from(&backend);
+    thread::sleep(Duration::from_millis(1000));
+    let mut client = front.client();
+    assert_eq!(client.send(&get("")).read().status(), 429, "nothing is sent");
+    let known = list(&[target("s-00000001", backend.address, "ready")]).to_string();
+    thread::spawn(move || {
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{known}", known.len());
+        while let Ok(mut call) = agent.exchanges.recv() {
+            // Those that came in the silence were given up.
+            let _ = call.stream.write_all(answer.as_bytes());
+        }
+    });
+    answer_all(backend);
+    let until = Instant::now() + PATIENCE;
+    while client.send(&get("")).read().status() != 200 {
+        assert!(Instant::now() < until, "the list is not back");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
 // A watch has ended and the next one is not open yet, as the process is held up for 0.14 s just then; meanwhile the agent
 // hears that a server drains, and falls silent. What the agent has counts as told, whether or not a watch is open, and
 // this process goes on sending to the server for as long as the agent is silent (soak, wide seed 40027: `sent 2300 ms
--- a/tests/front_door/peers.rs
+++ b/tests/front_door/peers.rs
@@ -9,7 +9,7 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, AtomicU8, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -82,6 +82,13 @@
     pub fn ok(self, body: &str) {
         self.answer("200 OK", "", body);
     }
+    /// The same for a call that may have been given up.
+    fn answer_if_open(mut self, body: &str) {
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        if self.stream.write_all(answer.as_bytes()).is_ok() {
+            read_on(self.stream, self.next);
+        }
+    }
     /// Writes this and closes.
     pub fn break_off(mut self, bytes: &str) {
         self.stream.write_all(bytes.as_bytes()).expect("the bytes go out");
@@ -126,50 +133,75 @@
     }
 }
 
-/// Discovery that tells the list it was given, and changes when the test says so.
+/// An agent of discovery. It tells the list it was given, and changes when the test says so; each call is answered
+/// by the revision that it names, on whatever connection it comes.
 pub struct Discovery {
     pub address: SocketAddr,
-    pub changes: Sender<Value>,
-    pub watches: Receiver<()>,
+    history: Arc<(Mutex<Vec<Value>>, Condvar)>,
+    /// The revision that each watch is asked from.
+    watches: Receiver<usize>,
 }
 
 impl Discovery {
     pub fn start(list: Value) -> Discovery {
         let peer = Peer::start();
         let address = peer.address;
-        let (changes, told) = channel::<Value>();
+        let history = Arc::new((Mutex::new(vec![list["targets"].clone()]), Condvar::new()));
         let (watching, watches) = channel();
+        let shared = history.clone();
         thread::spawn(move || {
-            let mut rev = list["rev"].clone();
             while let Ok(call) = peer.exchanges.recv() {
-                if !call.request.line.contains("after=") {
-                    call.ok(&list.to_string());
-                    continue;
-                }
-                let _ = watching.send(());
-                match told.recv_timeout(Duration::from_millis(500)) {
-                    Ok(change) => {
-                        rev = change["rev"].clone();
-                        call.ok(&change.to_string());
-                    }
-                    Err(_) => call.ok(&json!({"rev": rev, "all": false, "targets": []}).to_string()),
-                }
+                let (history, watching) = (shared.clone(), watching.clone());
+                thread::spawn(move || answer_discovery_call(call, &history, &watching));
             }
         });
-        Discovery { address, changes, watches }
+        Discovery { address, history, watches }
     }
     /// Tells a change, and waits for the watch that follows: the front door has taken the change in by then.
     pub fn tell(&self, targets: Value) {
-        self.wait_for_watch();
-        self.changes.send(json!({"rev": 2, "all": false, "targets": targets})).expect("discovery runs");
-        self.wait_for_watch();
-        self.wait_for_watch();
+        let (history, changed) = &*self.history;
+        let mut history = history.lock().expect("no one panics while holding it");
+        history.push(targets);
+        let revision = history.len();
+        drop(history);
+        changed.notify_all();
+        while self.next_watch() < revision {}
     }
     pub fn wait_for_watch(&self) {
-        self.watches.recv_timeout(PATIENCE).expect("a watch comes");
+        self.next_watch();
+    }
+    fn next_watch(&self) -> usize {
+        self.watches.recv_timeout(PATIENCE).expect("a watch comes")
     }
 }
 
+/// Answers one call: the whole list, or what is newer than the revision it names once there is something.
+fn answer_discovery_call(call: Exchange, history: &(Mutex<Vec<Value>>, Condvar), watching: &Sender<usize>) {
+    let number = |name: &str| -> Option<usize> {
+        let (_, rest) = call.request.line.split_once(name)?;
+        rest.split(['&', ' ']).next()?.parse().ok()
+    };
+    let after = number("after=");
+    let wait = Duration::from_millis(number("wait_ms=").unwrap_or(0) as u64);
+    if let Some(after) = after.filter(|_| !wait.is_zero()) {
+        // The test may listen no more.
+        let _ = watching.send(after);
+    }
+    let (revisions, changed) = history;
+    let revisions = revisions.lock().expect("no one panics while holding it");
+    let held = after.unwrap_or(0);
+    let waited = changed.wait_timeout_while(revisions, wait, |revisions| revisions.len() <= held);
+    let (revisions, _) = waited.expect("no one panics while holding it");
+    let mut newest = HashMap::new();
+    for target in revisions.iter().skip(held).flat_map(|targets| targets.as_array().expect("targets")) {
+        newest.insert(target["uid"].to_string(), target);
+    }
+    let targets: Vec<&Value> = newest.into_values().collect();
+    let answer = json!({"rev": revisions.len(), "all": after.is_none(), "targets": targets}).to_string();
+    drop(revisions);
+    call.answer_if_open(&answer);
+}
+
 pub fn target(uid: &str, address: SocketAddr, state: &str) -> Value {
     json!({"uid": uid, "endpoint": address.to_string(), "az": "a", "model": "m", "pod_group": 0,
            "state": state, "capacity_hint": 1.0, "boot_ms": 0})
@@ -179,6 +211,18 @@
     json!({"rev": 1, "all": true, "targets": targets})
 }
 
+/// The next call to an agent for the list or for what is newer. Calls that only confirm a watch, which may come
+/// between any two others, stay open without an answer.
+pub fn next_list_call(agent: &Peer) -> Exchange {
+    loop {
+        let call = agent.next();
+        if !call.request.line.contains("&wait_ms=0 ") {
+            return call;
+        }
+        std::mem::forget(call);
+    }
+}
+
 /// An address where nothing listens, as long as the tests run.
 pub fn closed_port() -> SocketAddr {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
