Ask discovery while the configuration is late, and serve behind its first word

Cause: what the agent has counts from the first moment of a process, and nobody asked it until the file was whole; by then it had fallen silent. Why this works: where the first reading of the file fails for a moment, discovery is followed at the address that the environment names, and what it tells is taken in when the configuration is there. A gateway accepts clients behind the agent's first word (or 250 ms, where none comes), as the list in the file may be older; connections that come meanwhile count as waiting. A process whose agent is silent all the while serves by the list in its file, as before. Tests: discovery::what_an_agent_hears_while_the_configuration_is_late_is_told_though_it_falls_silent and ::nothing_is_sent_by_the_list_in_the_file_before_the_agents_first_word; both failed before.

--- a/src/bin/brassport/acceptor.rs
+++ b/src/bin/brassport/acceptor.rs
@@ -37,9 +37,15 @@
 }
 
 impl Acceptor {
-    /// The acceptor of that socket, with the descriptors that the program may have.
-    pub fn new(listener: TcpListener, descriptors: Arc<Semaphore>) -> Acceptor {
-        Acceptor { listener, descriptors, stalled_since: Cell::new(None), failures: Cell::new(0) }
+    /// The acceptor of that socket, with the descriptors that the program may have. Connections may have been
+    /// waiting since it listens.
+    pub fn new(listener: TcpListener, descriptors: Arc<Semaphore>, listening_since: Instant) -> Acceptor {
+        Acceptor {
+            listener,
+            descriptors,
+            stalled_since: Cell::new(Some(listening_since)),
+            failures: Cell::new(0),
+        }
     }
 
     /// Whether connections may be waiting that could not be accepted.
--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -24,7 +24,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::{watch, Semaphore};
 use tokio::task::JoinSet;
 use tokio::time::{interval, timeout, timeout_at, Instant, MissedTickBehavior};
@@ -102,11 +102,10 @@
 
 /// Accepts clients, and returns once the shutdown closes the door and every connection has ended. Guards
 /// against requests in the backlog: the listener stays open until then.
-pub async fn serve(listener: TcpListener, desk: Rc<Desk>, descriptors: Arc<Semaphore>) {
+pub async fn serve(acceptor: Acceptor, desk: Rc<Desk>, descriptors: Arc<Semaphore>) {
     let reserve = RESERVE.min(descriptors.available_permits() / RESERVE_PART);
     let few = descriptors.available_permits() / FEW_PART;
     let callers = Rc::new(Callers::default());
-    let acceptor = Acceptor::new(listener, descriptors.clone());
     // Guards against connections that nobody waits on and that hold all descriptors. Those that a client
     // most likely has no more use for go first.
     let spare = |least: usize| {
--- a/src/bin/brassport/config.rs
+++ b/src/bin/brassport/config.rs
@@ -15,6 +15,9 @@
 const COUNTER_TIMEOUT: f64 = 30.0;
 const MOST_COUNTER_TIMEOUT: f64 = 250.0;
 
+/// Names the variable that tells where discovery is.
+const DISCOVERY_VARIABLE: &str = "BALANCER_DISCOVERY";
+
 /// All that a front door is told at its start.
 pub struct Config {
     pub listen: SocketAddr,
@@ -183,7 +186,7 @@
 
 impl Problem {
     /// Whether it may be gone a moment later without anybody's doing.
-    fn may_pass(&self) -> bool {
+    pub fn may_pass(&self) -> bool {
         match self {
             Problem::Unreadable(_, error) => retry::may_pass(error),
             Problem::Incomplete(_) => true,
@@ -258,6 +261,11 @@
     }
 }
 
+/// Where discovery is, if the environment says so.
+pub fn discovery_in_environment() -> Option<SocketAddr> {
+    env::var(DISCOVERY_VARIABLE).ok()?.parse().ok()
+}
+
 fn path() -> Result<String, Problem> {
     env::var("BALANCER_CONFIG").map_err(|_| Problem::Invalid("BALANCER_CONFIG is not set".into()))
 }
@@ -310,7 +318,7 @@
     };
     Ok(Config {
         listen: address("BALANCER_LISTEN", file.listen)?,
-        discovery: address("BALANCER_DISCOVERY", file.discovery)?,
+        discovery: address(DISCOVERY_VARIABLE, file.discovery)?,
         counter,
         counter_timeout: Duration::from_secs_f64(timeout / 1000.0),
         seed,
--- a/src/bin/brassport/discovery/contact.rs
+++ b/src/bin/brassport/discovery/contact.rs
@@ -62,7 +62,7 @@
         }
         self.revision.set(Some(revision));
         self.unconfirmed_since.set(Some(written));
-        self.changed.notify_one();
+        self.reconsider();
     }
 
     /// Notes that discovery was there while a watch was open: what it had before has been heard.
@@ -87,6 +87,11 @@
         self.unconfirmed_since.get()
     }
 
+    /// Wakes whoever waits for a change: what it means has changed.
+    pub fn reconsider(&self) {
+        self.changed.notify_one();
+    }
+
     /// Waits until there may be another answer to that.
     pub async fn changed(&self) {
         self.changed.notified().await;
--- a/src/bin/brassport/discovery/schedule.rs
+++ b/src/bin/brassport/discovery/schedule.rs
@@ -41,6 +41,8 @@
     /// An agent of this gateway's own. What it has counts as told, and sends to a server that drains
     /// must stop within `grace`.
     Own { grace: Duration },
+    /// Not known yet, as the configuration is not there. No list is in use, so that none is withdrawn.
+    Unsettled,
     /// One service of fixed capacity for so many gateways.
     Shared { gateways: u32 },
 }
@@ -63,29 +65,42 @@
 impl Schedule {
     /// The schedule for that service; `seed` is for the jitter.
     pub fn new(service: Service, seed: u64) -> Schedule {
-        let (wait, overdue, first, last) = match service {
-            Service::Own { grace } => {
-                let part = |part| grace.max(LEAST_GRACE).mul_f64(part).min(WAIT);
-                (
-                    part(OWN_WAIT_PART),
-                    part(OWN_OVERDUE_PART),
-                    part(OWN_FIRST_BACK_OFF_PART),
-                    part(OWN_LAST_BACK_OFF_PART),
-                )
-            }
-            Service::Shared { gateways } => (
-                WAIT,
-                (OVERDUE + OVERDUE_PER_GATEWAY * gateways).min(LONGEST_OVERDUE),
-                FIRST_BACK_OFF_PER_GATEWAY * gateways,
-                LAST_BACK_OFF_PER_GATEWAY * gateways,
-            ),
-        };
-        let (shared, most_unconfirmed) = match service {
-            Service::Own { grace } => (false, Some(grace.mul_f64(OWN_UNCONFIRMED_PART))),
-            Service::Shared { .. } => (true, None),
-        };
         let rng = Rand32::new(seed);
-        Schedule { rng, wait, overdue, first, last, next: first, shared, most_unconfirmed }
+        match service {
+            Service::Own { grace } => Schedule {
+                most_unconfirmed: Some(grace.mul_f64(OWN_UNCONFIRMED_PART)),
+                ..Schedule::own(grace, rng)
+            },
+            Service::Unsettled => Schedule::own(LEAST_GRACE, rng),
+            Service::Shared { gateways } => Schedule::shared(gateways, rng),
+        }
+    }
+
+    fn own(grace: Duration, rng: Rand32) -> Schedule {
+        let part = |part| grace.max(LEAST_GRACE).mul_f64(part).min(WAIT);
+        Schedule {
+            rng,
+            wait: part(OWN_WAIT_PART),
+            overdue: part(OWN_OVERDUE_PART),
+            first: part(OWN_FIRST_BACK_OFF_PART),
+            last: part(OWN_LAST_BACK_OFF_PART),
+            next: part(OWN_FIRST_BACK_OFF_PART),
+            shared: false,
+            most_unconfirmed: None,
+        }
+    }
+
+    fn shared(gateways: u32, rng: Rand32) -> Schedule {
+        Schedule {
+            rng,
+            wait: WAIT,
+            overdue: (OVERDUE + OVERDUE_PER_GATEWAY * gateways).min(LONGEST_OVERDUE),
+            first: FIRST_BACK_OFF_PER_GATEWAY * gateways,
+            last: LAST_BACK_OFF_PER_GATEWAY * gateways,
+            next: FIRST_BACK_OFF_PER_GATEWAY * gateways,
+            shared: true,
+            most_unconfirmed: None,
+        }
     }
 
     /// How long a watch may wait for news.
--- a/src/bin/brassport/discovery/watch.rs
+++ b/src/bin/brassport/discovery/watch.rs
@@ -3,16 +3,16 @@
 use super::call::{ask, Outcome, Query};
 use super::contact::{Contact, Loss};
 use super::list::List;
-use super::schedule::{Schedule, Service};
-use crate::door::Door;
+use super::schedule::Schedule;
+use super::{Source, Update};
 use crate::link::Link;
 use crate::log;
 use springusher::ListKind;
 use std::cell::{Cell, RefCell};
 use std::future::pending;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch::Receiver;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
@@ -31,7 +31,7 @@
 /// what came before the watch has been heard then, and what comes later is written to it. Where no such answer
 /// comes, servers may drain unheard, and after a part of the grace the list is withdrawn until it is there again.
 pub struct Watcher {
-    door: Rc<Door>,
+    updates: UnboundedSender<Update>,
     schedule: RefCell<Schedule>,
     contact: Contact,
     /// The revision held, where changes to it may be asked for.
@@ -39,34 +39,35 @@
 }
 
 impl Watcher {
-    /// A watcher that holds the list of that revision, if any; `seed` is for the jitter. Where calls are to be
-    /// spared, what is newer is all that is asked for.
-    pub fn new(door: Rc<Door>, known: Option<u64>, service: Service, seed: u64) -> Watcher {
-        let schedule = Schedule::new(service, seed);
-        let held = known.filter(|_| schedule.is_shared());
+    /// A watcher of that source, which reports to `updates`.
+    pub fn new(source: Source, updates: UnboundedSender<Update>) -> Watcher {
         Watcher {
-            door,
-            schedule: RefCell::new(schedule),
-            contact: Contact::new(known),
-            held: Cell::new(held),
+            updates,
+            schedule: RefCell::new(Schedule::new(source.service, source.seed)),
+            contact: Contact::new(source.known),
+            held: Cell::new(None),
         }
     }
 
-    /// Watches for ever, from the start again wherever discovery moves to.
-    pub async fn follow(self, address: Receiver<SocketAddr>) {
-        tokio::join!(self.watch_wherever(address), self.withdraw_unconfirmed());
+    /// Watches until nobody listens any more, from the start again wherever discovery moves to.
+    pub async fn follow(self, source: Receiver<Source>) {
+        tokio::select! {
+            () = self.watch_wherever(source) => {}
+            () = self.withdraw_unconfirmed() => {}
+            () = self.updates.closed() => {}
+        }
     }
 
-    async fn watch_wherever(&self, mut address: Receiver<SocketAddr>) {
+    async fn watch_wherever(&self, mut source: Receiver<Source>) {
         loop {
-            let at = *address.borrow_and_update();
+            let Source { address, service, known, seed } = *source.borrow_and_update();
+            self.schedule.replace(Schedule::new(service, seed));
+            self.held.set(known.filter(|_| self.schedule.borrow().is_shared()));
+            self.contact.reconsider();
             tokio::select! {
-                () = self.watch(at) => {}
-                moved = address.changed() => if moved.is_err() { return },
+                () = self.watch(address) => {}
+                changed = source.changed() => if changed.is_err() { return },
             }
-            // Another place may number its revisions otherwise.
-            self.held.set(None);
-            self.schedule.borrow_mut().reset();
         }
     }
 
@@ -92,6 +93,7 @@
                 Outcome::Lost(loss) => {
                     links = Links::default();
                     self.contact.lost(loss);
+                    self.report(Update::NoWord);
                     self.held.set(self.held.get().filter(|_| self.schedule.borrow().is_shared()));
                     self.pause(began).await;
                 }
@@ -167,7 +169,12 @@
 
     fn pass_on(&self, list: List) {
         let kind = if list.all { ListKind::Full } else { ListKind::Delta };
-        self.door.servers(kind, list);
+        self.report(Update::List(kind, list));
+    }
+
+    fn report(&self, update: Update) {
+        // Nobody listens any more where the program ends.
+        let _ = self.updates.send(update);
     }
 
     /// Pauses behind a call that failed.
@@ -178,9 +185,10 @@
 
     /// Withdraws the list whenever it has been unconfirmed for too long.
     async fn withdraw_unconfirmed(&self) {
-        let Some(most) = self.schedule.borrow().most_unconfirmed() else { return };
         loop {
-            let until = self.contact.unconfirmed_since().and_then(|since| since.checked_add(most));
+            let since = self.contact.unconfirmed_since();
+            let until = since.zip(self.schedule.borrow().most_unconfirmed());
+            let until = until.and_then(|(since, most)| since.checked_add(most));
             match until {
                 None => self.contact.changed().await,
                 Some(until) if until > Instant::now() => tokio::select! {
@@ -196,7 +204,7 @@
         log::line("no server is sent to: discovery fell silent as no watch was open".to_string());
         self.contact.confirmed();
         self.held.set(None);
-        self.door.servers(ListKind::Full, List::empty());
+        self.report(Update::List(ListKind::Full, List::empty()));
     }
 }
 
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -19,11 +19,12 @@
 mod signals;
 mod socket;
 
+use acceptor::Acceptor;
 use backends::Backends;
 use clients::{Desk, Phase};
-use config::{Config, First};
+use config::{Config, First, Problem};
 use counter::Counter;
-use discovery::{Service, Watcher};
+use discovery::{Following, Service, Source, Update};
 use door::Door;
 use signals::{Caught, Signals};
 use springusher::{ListKind, Settings};
@@ -33,14 +34,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{watch, Semaphore};
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::{oneshot, watch, Semaphore};
 use tokio::task::{spawn_local, LocalSet};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
 /// Descriptors that are neither a client's nor a backend's: streams, event queue, listener, discovery.
 const OWN_DESCRIPTORS: usize = 32;
 /// How long a start goes on trying what the system can't do for a moment: it has to be ready within 30 s.
 const START_PATIENCE: Duration = Duration::from_secs(20);
+/// How long the first try of reading the configuration may take before discovery is asked meanwhile.
+const FIRST_READ_PATIENCE: Duration = Duration::from_millis(250);
+/// How long clients wait at a start for the agent's first word, which comes at once from an agent that is there.
+const FIRST_WORD_PATIENCE: Duration = Duration::from_millis(250);
 /// The part of the memory that the bodies of clients may take all together.
 const BODIES_PART: usize = 8;
 /// After SIGTERM clients still come for up to 0.4 s; the listener stays open for longer than that. What is
@@ -107,13 +113,14 @@
 struct Prepared {
     config: Config,
     listener: TcpListener,
+    listening_since: Instant,
     /// Descriptors for clients and backends.
     descriptors: Arc<Semaphore>,
+    discovery: Following,
 }
 
 async fn prepare() -> Result<Prepared, String> {
-    let config = config::read_within(START_PATIENCE, First::Environment);
-    let config = config.await.map_err(|problem| problem.to_string())?;
+    let (config, discovery) = read_and_follow().await.map_err(|problem| problem.to_string())?;
     let most = config.sockets.min(system_descriptors());
     let spare = most.checked_sub(OWN_DESCRIPTORS).filter(|spare| *spare > 0);
     let spare = spare.ok_or_else(|| format!("limits.sockets: {most} are too few"))?;
@@ -121,7 +128,43 @@
     let bind = async || TcpListener::bind(config.listen).await;
     let listener = retry::within(START_PATIENCE, "listening", bind).await;
     let listener = listener.map_err(|error| format!("cannot listen on {}: {error}", config.listen))?;
-    Ok(Prepared { config, listener, descriptors })
+    Ok(Prepared { config, listener, listening_since: Instant::now(), descriptors, discovery })
+}
+
+/// Reads the configuration and begins to follow the list. What the agent has counts as told from the start of the
+/// process on: where the file is late, discovery is asked at the address that the environment names.
+async fn read_and_follow() -> Result<(Config, Following), Problem> {
+    let first = timeout(FIRST_READ_PATIENCE, config::read(First::Environment)).await;
+    match first {
+        Ok(Ok(config)) => {
+            let discovery = discovery::follow(source(&config));
+            return Ok((config, discovery));
+        }
+        Ok(Err(problem)) if !problem.may_pass() => return Err(problem),
+        Ok(Err(_)) | Err(_) => {}
+    }
+    let early = config::discovery_in_environment().map(|address| {
+        let seed = u64::from(std::process::id());
+        discovery::follow(Source { address, service: Service::Unsettled, known: None, seed })
+    });
+    let config = config::read_within(START_PATIENCE, First::Environment).await?;
+    let discovery = match early {
+        Some(discovery) => {
+            discovery.source.send_replace(source(&config));
+            discovery
+        }
+        None => discovery::follow(source(&config)),
+    };
+    Ok((config, discovery))
+}
+
+fn source(config: &Config) -> Source {
+    Source {
+        address: config.discovery,
+        service: discovery_service(&config.settings),
+        known: config.known.all.then_some(config.known.rev),
+        seed: config.seed,
+    }
 }
 
 /// How many descriptors the system lets this process have.
@@ -144,11 +187,25 @@
     Service::Own { grace: grace.unwrap_or(Duration::MAX) }
 }
 
+/// Hands what is heard of discovery on, and tells when the first word has been.
+async fn take_in(mut updates: UnboundedReceiver<Update>, door: Rc<Door>, told: oneshot::Sender<()>) {
+    let mut told = Some(told);
+    while let Some(update) = updates.recv().await {
+        if let Update::List(kind, list) = update {
+            door.servers(kind, list);
+        }
+        if let Some(told) = told.take() {
+            let _ = told.send(());
+        }
+    }
+}
+
 /// Serves until it is told to end and nothing is in hand.
 async fn front_door(prepared: Prepared, signals: Signals) -> Result<(), String> {
-    let Prepared { config, listener, descriptors } = prepared;
+    let Prepared { config, listener, listening_since, descriptors, discovery } = prepared;
     let Signals { hangups, mut termination } = signals;
     let closing = closing_time(&config.settings);
+    let has_agent = !config.settings.list_on_request;
     let backends = Rc::new(Backends::new(descriptors.clone(), config.connect_timeout, config.idle_timeout));
     let (counter, line) = Counter::new(config.counter_timeout);
     let (settings, zones) = (config.settings.clone(), config.names.zones.clone());
@@ -157,12 +214,11 @@
     let (counter, seen) = watch::channel(config.counter);
     let counted = door.clone();
     spawn_local(line.keep(seen, move |report| counted.counter_reported(report)));
-    let known = config.known.all.then_some(config.known.rev);
     door.servers(ListKind::Cached, config.known);
     spawn_local(door.clone().keep_time());
-    let (discovery, seen) = watch::channel(config.discovery);
-    let service = discovery_service(&config.settings);
-    spawn_local(Watcher::new(door.clone(), known, service, config.seed).follow(seen));
+    let Following { source, updates } = discovery;
+    let (told, first_word) = oneshot::channel();
+    spawn_local(take_in(updates, door.clone(), told));
     let sweeper = backends.clone();
     spawn_local(async move { sweeper.sweep().await });
 
@@ -175,10 +231,18 @@
         phase: seen,
         bodies: Semaphore::new((config.memory / BODIES_PART).min(Semaphore::MAX_PERMITS)),
     });
-    let mut serving = spawn_local(clients::serve(listener, desk, descriptors));
+    // Until then the list held may be older than what the agent has.
+    if has_agent {
+        let _ = timeout(FIRST_WORD_PATIENCE, first_word).await;
+    }
+    let acceptor = Acceptor::new(listener, descriptors.clone(), listening_since);
+    let mut serving = spawn_local(clients::serve(acceptor, desk, descriptors));
 
     spawn_local(reload::follow(hangups, move |config| {
-        discovery.send_replace(config.discovery);
+        source.send_modify(|source| {
+            // Another place may number its revisions otherwise.
+            *source = Source { address: config.discovery, known: None, ..*source };
+        });
         counter.send_if_modified(|held| std::mem::replace(held, config.counter) != config.counter);
     }));
     termination.requested().await;
--- a/tests/front_door/discovery.rs
+++ b/tests/front_door/discovery.rs
@@ -284,6 +284,47 @@
     }
 }
 
+// A gateway whose file is still being written at its start asks the agent meanwhile: what that has counts from the
+// start of the process on, and it may be silent by the time at which the file is whole (soak, wide seed 9101).
+#[test]
+fn what_an_agent_hears_while_the_configuration_is_late_is_told_though_it_falls_silent() {
+    let (backend, agent) = (Peer::start(), Peer::start());
+    let known = list(&[target("s-00000001", backend.address, "ready")]);
+    let mut config = config(agent.address, known.clone());
+    config["settings"]["rules"]["stopSendingWithin"] = json!(1000.0);
+    let file = write_config(&config);
+    std::fs::write(&file, &config.to_string()[..99]).expect("the file is cut short");
+    let child = spawn(&file, &config, Stdio::inherit());
+    agent.next().ok(&known.to_string());
+    let drains = [target("s-00000001", backend.address, "draining")];
+    next_list_call(&agent).ok(&json!({"rev": 2, "all": false, "targets": drains}).to_string());
+    // The next watch is open, and the agent silent.
+    let _watch = next_list_call(&agent);
+    std::fs::write(&file, config.to_string()).expect("the file is whole");
+    let front = Front::listening(child, &config, file);
+    let sent = answer_all(backend);
+    let mut client = front.client();
+    for _ in 0..10 {
+        client.send(&get("")).read();
+    }
+    assert_eq!(sent.load(Ordering::Relaxed), 0, "of 10 requests were sent to a server that drains");
+}
+
+// The list in the file of a new process may be older than what its agent has, which answers within milliseconds.
+#[test]
+fn nothing_is_sent_by_the_list_in_the_file_before_the_agents_first_word() {
+    let (backend, agent) = (Peer::start(), Peer::start());
+    let front = Front::start(&config(agent.address, list(&[target("s-00000001", backend.address, "ready")])));
+    let drains = list(&[target("s-00000001", backend.address, "draining")]).to_string();
+    let sent = answer_all(backend);
+    let mut client = front.client();
+    client.send(&get(""));
+    thread::sleep(Duration::from_millis(100));
+    agent.next().ok(&drains);
+    assert_eq!(client.read().status(), 429);
+    assert_eq!(sent.load(Ordering::Relaxed), 0, "requests were sent to a server that drains");
+}
+
 // A watch has ended and the next one is not open yet, as the process is held up for 0.14 s just then; meanwhile the agent
 // hears that a server drains, and falls silent. What the agent has counts as told, whether or not a watch is open, and
 // this process goes on sending to the server for as long as the agent is silent (soak, wide seed 40027: `sent 2300 ms
