Refuse an HTTP/1.1 request that names no host, or none that is one

Cause: only a second Host was looked for. Why this works: one check of the Host header stands before all else, also before /healthz; HTTP/1.0 may do without, and an empty one is allowed.

--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -6,6 +6,7 @@
 use crate::client_stream::{ClientStream, Connection};
 use crate::config::Names;
 use crate::door::{Answer, Door};
+use crate::host;
 use crate::log;
 use crate::socket::Socket;
 use http_body_util::{BodyExt, Full};
@@ -267,6 +268,8 @@
     if request.headers().contains_key(header::TRANSFER_ENCODING) {
         return Err(text(StatusCode::BAD_REQUEST, "Transfer-Encoding is not taken"));
     }
+    host::check(request.version(), request.headers())
+        .map_err(|problem| text(StatusCode::BAD_REQUEST, problem))?;
     if request.method() == Method::GET && request.uri().path() == "/healthz" {
         let up = *desk.phase.borrow() == Phase::Serving && desk.backends.any_ready();
         return Ok(text(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, ""));
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -12,6 +12,7 @@
 mod discovery;
 mod door;
 mod guard;
+mod host;
 mod link;
 mod log;
 mod reload;
--- a/tests/front_door/clients.rs
+++ b/tests/front_door/clients.rs
@@ -193,6 +193,9 @@
         ("X-Request-Id: ", "X-Request-Id: x\r\nX-Request-Id: "),
         ("Plan: starter", "Plan: starter\r\nPlan: starter"),
         ("Host: backend.local", "Host: backend.local\r\nHost: other.local"),
+        ("Host: backend.local\r\n", ""),
+        ("Host: backend.local", "Host: a b"),
+        ("Host: backend.local", "Host: user@backend.local"),
         // A server that reads no body of a GET would take it for a request of its own.
         ("Host: backend.local", "Host: backend.local\r\nContent-Length: 4"),
         ("client=00000000b4d65521", "client=00000000b4d65521; client=00000000b4d65522"),
