Pass on the host of a request line in absolute form

Cause: the line's scheme and authority were read nowhere. Why this works: the line's host is put in place of the header before anything reads it; a scheme other than http, or an authority that is no host, gets 400. Test: clients::the_host_of_a_request_line_in_absolute_form_replaces_the_header (the server got backend.local before); two more cases of malformed_input_gets_400_and_reaches_no_backend (504 before).

--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -258,7 +258,7 @@
 /// request must have come, `arrived` when its head had.
 async fn answer(
     desk: &Desk,
-    request: Request<Incoming>,
+    mut request: Request<Incoming>,
     asked_by: Instant,
     arrived: Instant,
     client: &Rc<Connection>,
@@ -268,8 +268,7 @@
     if request.headers().contains_key(header::TRANSFER_ENCODING) {
         return Err(text(StatusCode::BAD_REQUEST, "Transfer-Encoding is not taken"));
     }
-    host::check(request.version(), request.headers())
-        .map_err(|problem| text(StatusCode::BAD_REQUEST, problem))?;
+    host::settle(&mut request).map_err(|problem| text(StatusCode::BAD_REQUEST, problem))?;
     if request.method() == Method::GET && request.uri().path() == "/healthz" {
         let up = *desk.phase.borrow() == Phase::Serving && desk.backends.any_ready();
         return Ok(text(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, ""));
--- a/src/bin/brassport/host.rs
+++ b/src/bin/brassport/host.rs
@@ -1,14 +1,33 @@
 //! The host that a request names (RFC 9112, section 3.2).
 
-use hyper::header::{HeaderMap, HOST};
-use hyper::http::uri::Authority;
-use hyper::Version;
+use hyper::header::{HeaderMap, HeaderValue, HOST};
+use hyper::http::uri::{Authority, Scheme};
+use hyper::{Request, Uri, Version};
 
-/// Checks the Host header: one of them, which HTTP/1.1 wants, with a host and perhaps a port.
+/// Checks which host a request names. The host of a request line in absolute form replaces the Host header, so that
+/// whoever reads on finds no other.
 ///
 /// # Errors
 /// What is wrong, for the answer.
-pub fn check(version: Version, headers: &HeaderMap) -> Result<(), &'static str> {
+pub fn settle<B>(request: &mut Request<B>) -> Result<(), &'static str> {
+    check(request.version(), request.headers())?;
+    if let Some(host) = host_of_line(request.uri())? {
+        request.headers_mut().insert(HOST, host);
+    }
+    Ok(())
+}
+
+/// The host that the request line names, if it has one.
+fn host_of_line(uri: &Uri) -> Result<Option<HeaderValue>, &'static str> {
+    let (Some(scheme), Some(authority)) = (uri.scheme(), uri.authority()) else { return Ok(None) };
+    if *scheme != Scheme::HTTP || !is_host(authority.as_str().as_bytes()) {
+        return Err("the request line names no host of HTTP");
+    }
+    HeaderValue::from_str(authority.as_str()).map(Some).map_err(|_| "the request line names no host")
+}
+
+/// Checks the Host header: one of them, which HTTP/1.1 wants, with a host and perhaps a port.
+fn check(version: Version, headers: &HeaderMap) -> Result<(), &'static str> {
     let mut hosts = headers.get_all(HOST).iter();
     match (hosts.next(), hosts.next()) {
         (None, _) if version == Version::HTTP_11 => Err("Host is missing"),
--- a/tests/front_door/clients.rs
+++ b/tests/front_door/clients.rs
@@ -196,6 +196,8 @@
         ("Host: backend.local\r\n", ""),
         ("Host: backend.local", "Host: a b"),
         ("Host: backend.local", "Host: user@backend.local"),
+        ("GET /", "GET https://other.local/"),
+        ("GET /", "GET http://user@other.local/"),
         // A server that reads no body of a GET would take it for a request of its own.
         ("Host: backend.local", "Host: backend.local\r\nContent-Length: 4"),
         ("client=00000000b4d65521", "client=00000000b4d65521; client=00000000b4d65522"),
@@ -219,6 +221,19 @@
     assert_eq!(client.read().body.len(), long.len());
 }
 
+#[test]
+fn the_host_of_a_request_line_in_absolute_form_replaces_the_header() {
+    let backend = Peer::start();
+    let front = Front::before(&[backend.address]);
+    let mut client = front.client();
+    client.send(&get("/1?a=b").replace("GET /", "GET http://other.local/"));
+    let exchange = backend.next();
+    assert_eq!(exchange.request.line, "GET /preview-fetch/1?a=b HTTP/1.1");
+    assert_eq!(exchange.request.header("host"), "other.local");
+    exchange.ok("served");
+    assert_eq!(client.read().status(), 200);
+}
+
 #[test]
 fn idle_connections_give_way_when_descriptors_run_out() {
     let backend = Peer::start();
