Refuse a Quota-Info whose key stands there twice

Cause: each key was looked for up to its first match. Why this works: a key has to stand there once; 400 otherwise, as for a header that stands twice. Open: clients::idle_connections_give_way_when_descriptors_run_out failed once in a play of the clients' tests beside the soak ('a request comes: Timeout'); it is traced next.

--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -446,10 +446,14 @@
     Duration::try_from_secs_f64(number / in_second).ok()
 }
 
-/// The units and the number of front doors in the customer's set.
+/// The units and the number of front doors in the customer's set. A key that stands there twice has no one meaning.
 fn quota(text: &str, settings: &Settings) -> Option<(f64, u32)> {
     let value = |name: &str| {
-        text.split(',').find_map(|pair| pair.trim().strip_prefix(name)?.strip_prefix('=')).map(str::trim)
+        let mut values = text.split(',').filter_map(|pair| {
+            let (key, value) = pair.split_once('=')?;
+            (key.trim() == name).then_some(value.trim())
+        });
+        values.next().filter(|_| values.next().is_none())
     };
     let units = value("units")?.parse::<f64>().ok()?;
     let spread = value("spread")?.parse::<u32>().ok()?;
