Let the queue of the listening socket be as long as the system allows

Why this works: a queue has no need to be shorter than the system lets it be; whoever waits in it is served as soon as there is a descriptor.

--- a/src/bin/brassport/acceptor.rs
+++ b/src/bin/brassport/acceptor.rs
@@ -18,20 +18,22 @@
 const FIRST_BACK_OFF: Duration = Duration::from_millis(1);
 const LAST_BACK_OFF: Duration = Duration::from_millis(16);
 
-/// Listens on that address with a queue for so many connections, or for as many as the system lets one have
-/// (`net.core.somaxconn`): to a queue that is full a client connects a second late, or believes to be connected and
-/// is not heard for as long.
+/// The longest queue of connections that wait to be accepted; the system cuts it to `net.core.somaxconn`.
+const LONGEST_QUEUE: u32 = i32::MAX.unsigned_abs();
+
+/// Listens on that address, with the longest queue that the system lets one have: to a queue that is full a client
+/// connects a second late, or believes to be connected and is not heard for as long.
 ///
 /// # Errors
 /// What the system says of it.
-pub fn listen(address: SocketAddr, connections: usize) -> io::Result<TcpListener> {
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4(),
         SocketAddr::V6(_) => TcpSocket::new_v6(),
     }?;
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
-    socket.listen(i32::try_from(connections).unwrap_or(i32::MAX).unsigned_abs())
+    socket.listen(LONGEST_QUEUE)
 }
 
 /// A connection that was accepted.
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -126,7 +126,7 @@
     let spare = most.checked_sub(OWN_DESCRIPTORS).filter(|spare| *spare > 0);
     let spare = spare.ok_or_else(|| format!("limits.sockets: {most} are too few"))?;
     let descriptors = Arc::new(Semaphore::new(spare.min(Semaphore::MAX_PERMITS)));
-    let bind = async || acceptor::listen(config.listen, most);
+    let bind = async || acceptor::listen(config.listen);
     let listener = retry::within(START_PATIENCE, "listening", bind).await;
     let listener = listener.map_err(|error| format!("cannot listen on {}: {error}", config.listen))?;
     Ok(Prepared { config, listener, listening_since: Instant::now(), descriptors, discovery })
