--- a/fault-soak/src/client.rs
+++ b/fault-soak/src/client.rs
@@ -100,6 +100,25 @@
         while open.join_next().await.is_some() {}
     }
 
+    /// So many clients at once, each on a connection of its own: every other one asks, the rest say nothing.
+    pub async fn crowd(self: Arc<Self>, count: usize, seed: u64) {
+        let Some(intake) = self.gateway.intake() else { return };
+        let mut rng = Rand64::new(u128::from(seed));
+        let mut crowd = tokio::task::JoinSet::new();
+        for nth in 0..count {
+            let client = self.clone();
+            let mut own = Rand64::new(u128::from(rng.rand_u64()));
+            crowd.spawn(async move {
+                if nth % 2 == 0 {
+                    client.ask(Behaviour::Usual, intake, &mut own).await;
+                } else {
+                    client.bad(Behaviour::Mute, intake, &mut own).await;
+                }
+            });
+        }
+        while crowd.join_next().await.is_some() {}
+    }
+
     fn behaviour(&self, rng: &mut Rand64) -> Behaviour {
         let within = |rng: &mut Rand64, most: f64| most * rng.rand_float();
         if self.leaving.load(Ordering::Relaxed) && rng.rand_float() < 0.7 {
--- a/fault-soak/src/main.rs
+++ b/fault-soak/src/main.rs
@@ -34,6 +34,10 @@
     /// Draws from the wide scenarios: a meter, two areas, long quiet starts, and more kinds of trouble.
     #[arg(long)]
     wide: bool,
+    /// Draws from the hard scenarios: the wide ones, with crowds that connect to gateways that are held up, and with
+    /// a further trouble for each that would come to nothing.
+    #[arg(long)]
+    hard: bool,
     /// The folder for configurations and logs.
     #[arg(long, default_value = "target/fault-soak")]
     folder: PathBuf,
@@ -74,7 +78,11 @@
         let folder = arguments.folder.join(format!("seed-{seed}"));
         fs::create_dir_all(&folder)?;
         let setup = Setup { program: arguments.gateway.clone(), shim: Some(shim.clone()), folder };
-        let draw = if arguments.wide { Scenario::draw_wide } else { Scenario::draw_dense };
+        let draw = match (arguments.hard, arguments.wide) {
+            (true, _) => Scenario::draw_hard,
+            (false, true) => Scenario::draw_wide,
+            (false, false) => Scenario::draw_dense,
+        };
         let scenario = draw(seed, arguments.gateways, arguments.seconds * 1000.0, arguments.density);
         let report = play(scenario, &setup).await?;
         print(&report, arguments);
--- a/fault-soak/src/run.rs
+++ b/fault-soak/src/run.rs
@@ -8,7 +8,7 @@
 use crate::ledger::{Ledger, Millis, Records};
 use crate::meter::Meter;
 use crate::proxy::Proxy;
-use crate::scenario::{Event, Scenario};
+use crate::scenario::{Event, Scenario, Trouble};
 use crate::server::{Server, Usage};
 use crate::shim::Faults;
 use crate::site::Site;
@@ -64,6 +64,9 @@
     pub(crate) faults: Mutex<Vec<Faults>>,
     pub(crate) leaving: Arc<AtomicBool>,
     pub(crate) discovery_addresses: Mutex<Vec<std::net::SocketAddr>>,
+    /// The last id that a client gave a request.
+    pub(crate) ids: Arc<AtomicU64>,
+    spares: Mutex<Vec<Trouble>>,
 }
 
 /// A counter and the line to it.
@@ -99,6 +102,8 @@
         faults: Mutex::new(vec![Faults::default(); site.gateways]),
         leaving: Arc::new(AtomicBool::new(false)),
         discovery_addresses: Mutex::new(Vec::new()),
+        ids: Arc::new(AtomicU64::new(1)),
+        spares: Mutex::new(scenario.spares.clone()),
         site: site.clone(),
         ledger: ledger.clone(),
         gateways,
@@ -219,21 +224,38 @@
         self.start_as(gateway, Start::Usual).await;
     }
 
+    /// Clients of a gateway that share no connection with any others.
+    pub(crate) fn clients(&self, gateway: &Arc<Gateway>) -> Arc<Clients> {
+        let (site, ledger) = (self.site.clone(), self.ledger.clone());
+        Clients::new(gateway.clone(), site, ledger, self.ids.clone(), self.leaving.clone())
+    }
+
     async fn load(self: Arc<Self>, seed: u64) {
-        let ids = Arc::new(AtomicU64::new(1));
         let mut loads = tokio::task::JoinSet::new();
         for gateway in &self.gateways {
-            let (site, ledger) = (self.site.clone(), self.ledger.clone());
-            let clients = Clients::new(gateway.clone(), site, ledger, ids.clone(), self.leaving.clone());
-            loads.spawn(clients.load(seed.wrapping_mul(1000) + gateway.index as u64));
+            loads.spawn(self.clients(gateway).load(seed.wrapping_mul(1000) + gateway.index as u64));
         }
         while loads.join_next().await.is_some() {}
     }
 
+    /// A trouble whose gateways are all down would come to nothing: a spare one takes its place, if there is one.
+    fn replace_if_moot(&self, event: &mut Event) {
+        let is_moot = |trouble: &Trouble| {
+            let gateways = trouble.gateways();
+            !gateways.is_empty() && gateways.iter().all(|gateway| self.gateways[*gateway].intake().is_none())
+        };
+        let mut spares = self.spares.lock().expect("no one panics while holding it");
+        while is_moot(&event.trouble) {
+            let Some(spare) = spares.pop() else { return };
+            event.trouble = spare;
+        }
+    }
+
     async fn play_events(self: Arc<Self>, events: Vec<Event>) {
         let mut playing = tokio::task::JoinSet::new();
-        for event in events {
+        for mut event in events {
             sleep(millis((event.at - self.ledger.now()).max(0.0))).await;
+            self.replace_if_moot(&mut event);
             self.ledger.note(format!("{:?} for {:.0} ms", event.trouble, event.lasts));
             playing.spawn(self.clone().one(event));
         }
--- a/fault-soak/src/scenario.rs
+++ b/fault-soak/src/scenario.rs
@@ -73,6 +73,27 @@
     IdleCrowd(usize),
     /// Most clients leave early.
     LeaveBurst,
+    /// Clients connect to gateways within milliseconds while these are held up.
+    CrowdWhileHeld(Vec<usize>),
+}
+
+impl Trouble {
+    /// The gateways whose processes it needs, if it is about some.
+    pub fn gateways(&self) -> &[usize] {
+        match self {
+            Trouble::SignalSeries(gateways)
+            | Trouble::RewriteAtStart(gateways)
+            | Trouble::LogUnread(gateways)
+            | Trouble::Terminate(gateways)
+            | Trouble::Kill(gateways)
+            | Trouble::Hold(gateways)
+            | Trouble::ReloadAndTerminate(gateways)
+            | Trouble::SystemCalls(gateways, _)
+            | Trouble::CrowdWhileHeld(gateways) => gateways,
+            Trouble::IdleCrowd(gateway) => std::slice::from_ref(gateway),
+            _ => &[],
+        }
+    }
 }
 
 /// What servers do wrong.
@@ -147,6 +168,8 @@
     pub site: Site,
     /// The troubles, in the order in which they begin.
     pub events: Vec<Event>,
+    /// Troubles that take the place of those whose gateways are all down when they are due.
+    pub spares: Vec<Trouble>,
 }
 
 struct Dice(Rand64);
@@ -222,7 +245,7 @@
             })
             .collect();
         events.sort_by(|one, other| one.at.total_cmp(&other.at));
-        Scenario { seed, site, events }
+        Scenario { seed, site, events, spares: Vec::new() }
     }
 }
 
@@ -262,6 +285,36 @@
     }
 }
 
+/// Of the troubles of a hard scenario one in so many is a crowd that comes while gateways are held up.
+const HELD_CROWD_EVERY: usize = 8;
+
+impl Scenario {
+    /// Draws what [`Scenario::draw_wide`] draws, and on top of it crowds that connect while gateways are held up, and
+    /// troubles for the places of those that come to nothing.
+    pub fn draw_hard(seed: u64, gateways: usize, span: Millis, density: f64) -> Scenario {
+        let mut scenario = Scenario::draw_wide(seed, gateways, span, density);
+        let mut dice = Dice(Rand64::new(u128::from(seed) ^ 0xc40d));
+        let first = scenario.events.first().map_or(QUIET_START, |event| event.at);
+        let last = (scenario.site.span - QUIET_END).max(first + 1.0);
+        let crowds = scenario.events.len().div_ceil(HELD_CROWD_EVERY);
+        for _ in 0..crowds {
+            let trouble = Trouble::CrowdWhileHeld(dice.some(gateways, 0.3));
+            scenario.events.push(Event { at: dice.between(first, last), lasts: 0.0, trouble });
+        }
+        scenario.events.sort_by(|one, other| one.at.total_cmp(&other.at));
+        for _ in 0..scenario.events.len() {
+            let wide = dice.coin();
+            let spare = if wide {
+                wide_trouble(&mut dice, &scenario.site)
+            } else {
+                trouble(&mut dice, &scenario.site)
+            };
+            scenario.spares.push(spare);
+        }
+        scenario
+    }
+}
+
 fn wide_trouble(dice: &mut Dice, site: &Site) -> Trouble {
     match dice.below(9) {
         0 | 1 => Trouble::SignalSeries(dice.some(site.gateways, 0.3)),
--- a/fault-soak/src/troubles.rs
+++ b/fault-soak/src/troubles.rs
@@ -31,6 +31,10 @@
 const HOLD: Duration = Duration::from_millis(140);
 const HOLD_PERIOD: Duration = Duration::from_millis(500);
 
+/// Clients that connect to a gateway that is held up, and how long after it was stopped.
+const HELD_CROWD: usize = 150;
+const CROWD_AFTER_HOLD: Duration = Duration::from_millis(10);
+
 /// How a gateway ends that is restarted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum End {
@@ -162,6 +166,7 @@
             Trouble::IdleCrowd(gateway) => {
                 idle_crowd(self.gateways[gateway].clone(), self.site.descriptors, lasts).await;
             }
+            Trouble::CrowdWhileHeld(gateways) => self.crowd_while_held(&gateways).await,
             Trouble::LeaveBurst => {
                 self.leaving.store(true, Ordering::Relaxed);
                 sleep(lasts).await;
@@ -218,6 +223,20 @@
         }
     }
 
+    async fn crowd_while_held(&self, gateways: &[usize]) {
+        let mut crowds = tokio::task::JoinSet::new();
+        for gateway in gateways.iter().map(|gateway| self.gateways[*gateway].clone()) {
+            let crowd = self.clients(&gateway).crowd(HELD_CROWD, self.draw());
+            crowds.spawn(async move {
+                tokio::join!(gateway.hold(HOLD), async {
+                    sleep(CROWD_AFTER_HOLD).await;
+                    crowd.await;
+                });
+            });
+        }
+        while crowds.join_next().await.is_some() {}
+    }
+
     async fn reload(&self, unreadable: bool, lasts: Duration) {
         let all: Vec<usize> = (0..self.gateways.len()).collect();
         if unreadable {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -10,6 +10,9 @@
 /// Troubles a second in wide scenarios.
 const WIDE_DENSITY: f64 = 1.2;
 
+/// The same in hard ones.
+const HARD_DENSITY: f64 = 2.5;
+
 /// Plays a scenario in a folder of its own, and fails with what broke.
 fn breaks_no_rule(scenario: Scenario) {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("a runtime");
@@ -34,4 +37,5 @@
     for seed in [20002, 20003] {
         breaks_no_rule(Scenario::draw_wide(seed, GATEWAYS, SPAN_MS, WIDE_DENSITY));
     }
+    breaks_no_rule(Scenario::draw_hard(60001, GATEWAYS, SPAN_MS, HARD_DENSITY));
 }
