Wake the server for a request that was read ahead of it

Cause: an attempt of a request that has failed at its deadline and is still connecting asks, before it would send, whether the client has left. That reads the client's socket. If the next request has just come, it is read there; the runtime finds nothing at the socket any more and wakes nobody for it. Ruled out: an unread socket (the close would have been HalfAsked after 2.5 s), a body that did not come (408 after 2.5 s), trouble (the first one comes at 32 s). Why this works: the server's waker is kept also while it waits at the socket, and whoever reads ahead wakes it if the bytes are its to have. No order of the two readers can strand bytes any more. Test: client_stream::tests::a_request_that_is_read_ahead_while_the_server_waits_for_it_is_handed_on, which waited 5 s in vain before.

--- a/src/bin/brassport/client_stream.rs
+++ b/src/bin/brassport/client_stream.rs
@@ -11,7 +11,7 @@
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll, Waker};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::time::{sleep, timeout, Instant};
@@ -74,7 +74,7 @@
     /// The moment that stands for the first read's, where the connection had to wait to be accepted.
     waited_since: Option<Instant>,
     ended: bool,
-    /// The server, if it waits for its turn.
+    /// The server, if it waits for its turn or for bytes.
     reader: Option<Waker>,
 }
 
@@ -89,6 +89,21 @@
         self.read_at.push_back((count, at));
     }
 
+    /// Notes a read that the server has not made. It is woken if it may have the bytes: the runtime finds them at the
+    /// socket no more, and wakes nobody for them.
+    fn take_in_ahead(&mut self, count: usize) {
+        self.take_in(count);
+        if self.is_open() {
+            self.wake_reader();
+        }
+    }
+
+    fn wake_reader(&mut self) {
+        if let Some(reader) = self.reader.take() {
+            reader.wake();
+        }
+    }
+
     /// Hands on what the present turn allows; false if it allows nothing.
     fn hand_on(&mut self, buffer: &mut ReadBuf<'_>) -> bool {
         let room = self.ahead.len().min(buffer.remaining());
@@ -163,9 +178,7 @@
     pub fn begin_request(&self, body: u64) -> Instant {
         let mut input = self.input.borrow_mut();
         input.turn = Turn::Body { left: body, answered: false };
-        if let Some(reader) = input.reader.take() {
-            reader.wake();
-        }
+        input.wake_reader();
         input.arrived
     }
 
@@ -178,9 +191,7 @@
                 left => Turn::Body { left, answered: true },
             };
         }
-        if let Some(reader) = input.reader.take() {
-            reader.wake();
-        }
+        input.wake_reader();
     }
 
     /// Whether the client is known to have gone, without asking the system.
@@ -215,7 +226,7 @@
                 });
                 // A connection that failed has ended.
                 let count = read.await.unwrap_or(0);
-                self.input.borrow_mut().take_in(count);
+                self.input.borrow_mut().take_in_ahead(count);
             } else if self.socket.ends_behind_bytes().await {
                 self.input.borrow_mut().ended = true;
             } else {
@@ -233,9 +244,9 @@
                 break;
             }
             match self.socket.read_now(room, &mut input.ahead) {
-                Ok(count) => input.take_in(count),
+                Ok(count) => input.take_in_ahead(count),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
-                Err(_) => input.take_in(0),
+                Err(_) => input.take_in_ahead(0),
             }
         }
         input.ended
@@ -251,8 +262,11 @@
             if input.hand_on(buffer) || buffer.remaining() == 0 || input.ended {
                 return Poll::Ready(Ok(()));
             }
-            let count = ready!(self.socket.poll_read_into(context, AHEAD_LIMIT, &mut input.ahead))?;
-            input.take_in(count);
+            let Poll::Ready(read) = self.socket.poll_read_into(context, AHEAD_LIMIT, &mut input.ahead) else {
+                input.reader = Some(context.waker().clone());
+                return Poll::Pending;
+            };
+            input.take_in(read?);
         }
     }
 }
@@ -385,4 +399,36 @@
         assert_eq!(read().await.as_deref(), Some(&b"GET"[..]));
         assert_eq!(read().await.as_deref(), Some(&b""[..]), "then the end");
     }
+
+    // The system was asked whether the client had left while the server waited for the next head: that read the head,
+    // and as the runtime found nothing at the socket any more it woke nobody (soak, hard seed 60002: never answered).
+    #[tokio::test]
+    async fn a_request_that_is_read_ahead_while_the_server_waits_for_it_is_handed_on() {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let mut client = std::net::TcpStream::connect(address).expect("it connects");
+        let (stream, _) = listener.accept().await.expect("it is accepted");
+        let connection = Connection::new(Socket::new(stream), None);
+        let read_by = connection.clone();
+        let reading = async move {
+            let mut bytes = [0; 100];
+            let mut buffer = ReadBuf::new(&mut bytes);
+            poll_fn(|context| read_by.poll_input(context, &mut buffer)).await.expect("it stands");
+            buffer.filled().to_vec()
+        };
+        let test = async {
+            // In a task of its own, as nothing else wakes it.
+            let server = tokio::task::spawn_local(reading);
+            tokio::task::yield_now().await;
+            // The one thread that runs all stands still until the request is there.
+            std::io::Write::write_all(&mut client, b"GET /a HTTP/1.1\r\n\r\n").expect("it is sent");
+            while connection.socket.is_quiet() {
+                std::thread::yield_now();
+            }
+            assert!(!connection.has_left());
+            timeout(Duration::from_secs(5), server).await.expect("the server is woken").expect("it ends")
+        };
+        let read = tokio::task::LocalSet::new().run_until(test).await;
+        assert_eq!(read, b"GET /a HTTP/1.1\r\n\r\n");
+    }
 }
