--- a/fault-soak/src/troubles.rs
+++ b/fault-soak/src/troubles.rs
@@ -6,7 +6,7 @@
 use crate::gateway::{Gateway, LogReader};
 use crate::proxy::LineFaults;
 use crate::run::{millis, PlacedCounter, World};
-use crate::scenario::{Event, Misdeed, Trouble};
+use crate::scenario::{Event, Misdeed, Trouble, HELD_CROWD};
 use crate::server::{Manners, Server};
 use crate::shim::Faults;
 use rustix::process::Signal;
@@ -31,8 +31,7 @@
 const HOLD: Duration = Duration::from_millis(140);
 const HOLD_PERIOD: Duration = Duration::from_millis(500);
 
-/// Clients that connect to a gateway that is held up, and how long after it was stopped.
-const HELD_CROWD: usize = 150;
+/// How long after a gateway was stopped a crowd connects to it.
 const CROWD_AFTER_HOLD: Duration = Duration::from_millis(10);
 
 /// How a gateway ends that is restarted.
