Move the start of a gateway into a module of its own

main.rs keeps the signals, the run and the shutdown; what is read, listened on and followed before that stands in startup.rs.

--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -19,33 +19,26 @@
 mod retry;
 mod signals;
 mod socket;
+mod startup;
 
 use acceptor::Acceptor;
 use backends::Backends;
 use clients::{Desk, Phase};
-use config::{Config, First, Problem};
 use counter::Counter;
-use discovery::{Following, Service, Source, Update};
+use discovery::{Following, Source, Update};
 use door::Door;
 use signals::{Caught, Signals};
 use springusher::{ListKind, Settings};
+use startup::{Prepared, START_PATIENCE};
 use std::backtrace::{Backtrace, BacktraceStatus};
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::{oneshot, watch, Semaphore};
 use tokio::task::{spawn_local, LocalSet};
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, timeout};
 
-/// Descriptors that are neither a client's nor a backend's: streams, event queue, listener, discovery.
-const OWN_DESCRIPTORS: usize = 32;
-/// How long a start goes on trying what the system can't do for a moment: it has to be ready within 30 s.
-const START_PATIENCE: Duration = Duration::from_secs(20);
-/// How long the first try of reading the configuration may take before discovery is asked meanwhile.
-const FIRST_READ_PATIENCE: Duration = Duration::from_millis(250);
 /// How long clients wait at a start for the agent's first word, which comes at once from an agent that is there.
 const FIRST_WORD_PATIENCE: Duration = Duration::from_millis(250);
 /// The part of the memory that the bodies of clients may take all together.
@@ -105,89 +98,17 @@
     let prepared = tokio::select! {
         biased;
         () = signals.termination.requested() => return Ok(()),
-        prepared = prepare() => prepared?,
+        prepared = startup::prepare() => prepared?,
     };
     front_door(prepared, signals).await
 }
 
-/// What a front door starts from.
-struct Prepared {
-    config: Config,
-    listener: TcpListener,
-    listening_since: Instant,
-    /// Descriptors for clients and backends.
-    descriptors: Arc<Semaphore>,
-    discovery: Following,
-}
-
-async fn prepare() -> Result<Prepared, String> {
-    let (config, discovery) = read_and_follow().await.map_err(|problem| problem.to_string())?;
-    let most = config.sockets.min(system_descriptors());
-    let spare = most.checked_sub(OWN_DESCRIPTORS).filter(|spare| *spare > 0);
-    let spare = spare.ok_or_else(|| format!("limits.sockets: {most} are too few"))?;
-    let descriptors = Arc::new(Semaphore::new(spare.min(Semaphore::MAX_PERMITS)));
-    let bind = async || acceptor::listen(config.listen);
-    let listener = retry::within(START_PATIENCE, "listening", bind).await;
-    let listener = listener.map_err(|error| format!("cannot listen on {}: {error}", config.listen))?;
-    Ok(Prepared { config, listener, listening_since: Instant::now(), descriptors, discovery })
-}
-
-/// Reads the configuration and begins to follow the list. What the agent has counts as told from the start of the
-/// process on: where the file is late, discovery is asked at the address that the environment names.
-async fn read_and_follow() -> Result<(Config, Following), Problem> {
-    let first = timeout(FIRST_READ_PATIENCE, config::read(First::Environment)).await;
-    match first {
-        Ok(Ok(config)) => {
-            let discovery = discovery::follow(source(&config));
-            return Ok((config, discovery));
-        }
-        Ok(Err(problem)) if !problem.may_pass() => return Err(problem),
-        Ok(Err(_)) | Err(_) => {}
-    }
-    let early = config::discovery_in_environment().map(|address| {
-        let seed = u64::from(std::process::id());
-        discovery::follow(Source { address, service: Service::Unsettled, known: None, seed })
-    });
-    let config = config::read_within(START_PATIENCE, First::Environment).await?;
-    let discovery = match early {
-        Some(discovery) => {
-            discovery.source.send_replace(source(&config));
-            discovery
-        }
-        None => discovery::follow(source(&config)),
-    };
-    Ok((config, discovery))
-}
-
-fn source(config: &Config) -> Source {
-    Source {
-        address: config.discovery,
-        service: discovery_service(&config.settings),
-        known: config.known.all.then_some(config.known.rev),
-        seed: config.seed,
-    }
-}
-
-/// How many descriptors the system lets this process have.
-fn system_descriptors() -> usize {
-    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
-    limit.and_then(|limit| usize::try_from(limit).ok()).unwrap_or(usize::MAX)
-}
-
 /// How long requests in hand may take once nothing new is taken.
 fn closing_time(settings: &Settings) -> Duration {
     let longest = settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
     Duration::try_from_secs_f64(longest / 1000.0).unwrap_or(CLOSING).min(CLOSING)
 }
 
-fn discovery_service(settings: &Settings) -> Service {
-    if settings.list_on_request {
-        return Service::Shared { gateways: settings.gateways };
-    }
-    let grace = Duration::try_from_secs_f64(settings.drain_grace / 1000.0);
-    Service::Own { grace: grace.unwrap_or(Duration::MAX) }
-}
-
 /// Hands what is heard of discovery on, and tells when the first word has been.
 async fn take_in(mut updates: UnboundedReceiver<Update>, door: Rc<Door>, told: oneshot::Sender<()>) {
     let mut told = Some(told);
