Let a file that could be read only later go before the environment

Cause: at a start the environment went before the file however late the file was read. Both gateways were restarted while reading failed ('Too many open files'); meanwhile their files were replaced by such with another discovery, and no signal told them, as they were not ready. They asked the discovery of their environment for the rest of their lives. Evidence: gateway 8 asks 127.88.0.4:41781 from its start on and 'can't be reached', its file names 127.88.0.4:44649, and its log has 'reading the configuration does not work for now'. Ruled out: a reload that was lost (no signal is sent to a process that is not ready), a silent agent (the calls are refused). Why this works: the environment is as new as the file only if the file can be read at the first try; what is read later goes before it, as behind a SIGHUP. Test: reload::a_file_that_can_be_read_only_later_goes_before_the_environment; before, the new discovery was not asked within 20 s. Tests that wait for a start kill the program when they fail.

--- a/src/bin/brassport/config.rs
+++ b/src/bin/brassport/config.rs
@@ -167,9 +167,9 @@
 /// Which of the environment and the file goes before the other in what both say.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum First {
-    /// At the start: the environment is as new as the file.
+    /// At the very start: the environment is as new as the file.
     Environment,
-    /// When the file has been replaced under a running program, whose environment is of its start.
+    /// Later: the file may have been replaced meanwhile, and the environment is of the start.
     File,
 }
 
--- a/src/bin/brassport/startup.rs
+++ b/src/bin/brassport/startup.rs
@@ -60,7 +60,8 @@
         let seed = u64::from(std::process::id());
         discovery::follow(Source { address, service: Service::Unsettled, known: None, seed })
     });
-    let config = config::read_within(START_PATIENCE, First::Environment).await?;
+    // By now the file may have been replaced, and is newer than the environment.
+    let config = config::read_within(START_PATIENCE, First::File).await?;
     let discovery = match early {
         Some(discovery) => {
             discovery.source.send_replace(source(&config));
--- a/tests/front_door/discovery.rs
+++ b/tests/front_door/discovery.rs
@@ -294,14 +294,14 @@
     config["settings"]["rules"]["stopSendingWithin"] = json!(1000.0);
     let file = write_config(&config);
     std::fs::write(&file, &config.to_string()[..99]).expect("the file is cut short");
-    let child = spawn(&file, &config, Stdio::inherit());
+    let starting = Starting::spawn(&file, &config);
     agent.next().ok(&known.to_string());
     let drains = [target("s-00000001", backend.address, "draining")];
     next_list_call(&agent).ok(&json!({"rev": 2, "all": false, "targets": drains}).to_string());
     // The next watch is open, and the agent silent.
     let _watch = next_list_call(&agent);
     std::fs::write(&file, config.to_string()).expect("the file is whole");
-    let front = Front::listening(child, &config, file);
+    let front = starting.listening(&config, file);
     let sent = answer_all(backend);
     let mut client = front.client();
     for _ in 0..10 {
--- a/tests/front_door/peers.rs
+++ b/tests/front_door/peers.rs
@@ -409,6 +409,28 @@
     path
 }
 
+/// A program that was started and may not listen yet. It is killed when a test fails before it does.
+pub struct Starting(Option<Child>);
+
+impl Starting {
+    pub fn spawn(file: &Path, config: &Value) -> Starting {
+        Starting(Some(spawn(file, config, Stdio::inherit())))
+    }
+    /// Waits until it listens.
+    pub fn listening(mut self, config: &Value, file: PathBuf) -> Front {
+        Front::listening(self.0.take().expect("it was started"), config, file)
+    }
+}
+
+impl Drop for Starting {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.0 {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
 pub fn spawn(file: &Path, config: &Value, errors: Stdio) -> Child {
     command(file, config).stderr(errors).spawn().expect("the program starts")
 }
--- a/tests/front_door/reload.rs
+++ b/tests/front_door/reload.rs
@@ -201,3 +201,22 @@
     let status = end_within(&mut child, AT_ONCE).expect("it ends at once");
     assert!(status.success(), "{status}");
 }
+
+// The file was replaced while the gateway could not read it, and no signal told of it, as the gateway was not ready. It
+// asked the discovery of its environment from then on, which had moved (soak, seed 9308: sends to draining servers).
+#[test]
+fn a_file_that_can_be_read_only_later_goes_before_the_environment() {
+    let (backend, old, new) = (Peer::start(), Peer::start(), Peer::start());
+    let known = list(&[target("s-00000001", backend.address, "ready")]);
+    let mut config = config(old.address, known.clone());
+    let file = write_config(&config);
+    std::fs::write(&file, &config.to_string()[..99]).expect("the file is cut short");
+    let starting = Starting::spawn(&file, &config);
+    assert_eq!(old.next().request.line, "GET /v1/servers HTTP/1.1", "asked meanwhile");
+    config["discovery"] = json!(new.address.to_string());
+    std::fs::write(&file, config.to_string()).expect("the file is whole");
+    let call = new.next();
+    assert_eq!(call.request.line, "GET /v1/servers HTTP/1.1");
+    call.ok(&known.to_string());
+    starting.listening(&config, file).serves_from(&backend);
+}
