Soak: a trouble that panics ends the run; hard sites have at least 400 descriptors

The rig was out of its 20,000 descriptors, as hard sites had 450 more each and idle crowds fill them all; a burst of reloads ended half way, and gateway 5 was never signalled (its log has no reload between 4.437 and 11.070). The panic stood in the rig's output and the run went on as if the trouble had been carried out. It ends the run now, in every kind of trouble; sites have 400 descriptors where they were drawn fewer, enough for two crowds at once.

--- a/fault-soak/src/run.rs
+++ b/fault-soak/src/run.rs
@@ -164,6 +164,15 @@
     }
 }
 
+/// Waits until all have ended. One that panics ends the run: half a trouble leaves a world that no rule speaks of.
+pub(crate) async fn all_of(mut tasks: tokio::task::JoinSet<()>) {
+    while let Some(ended) = tasks.join_next().await {
+        if let Err(error) = ended {
+            std::panic::resume_unwind(error.into_panic());
+        }
+    }
+}
+
 pub(crate) fn millis(span: Millis) -> Duration {
     Duration::from_secs_f64(span / 1000.0)
 }
@@ -213,7 +222,7 @@
             let world = self.clone();
             starts.spawn(async move { world.start(&gateway).await });
         }
-        while starts.join_next().await.is_some() {}
+        all_of(starts).await;
     }
 
     pub(crate) fn counter(&self) -> Arc<PlacedCounter> {
@@ -235,7 +244,7 @@
         for gateway in &self.gateways {
             loads.spawn(self.clients(gateway).load(seed.wrapping_mul(1000) + gateway.index as u64));
         }
-        while loads.join_next().await.is_some() {}
+        all_of(loads).await;
     }
 
     /// A trouble whose gateways are all down would come to nothing: a spare one takes its place, if there is one.
@@ -259,7 +268,7 @@
             self.ledger.note(format!("{:?} for {:.0} ms", event.trouble, event.lasts));
             playing.spawn(self.clone().one(event));
         }
-        let all = async { while playing.join_next().await.is_some() {} };
+        let all = all_of(playing);
         let _ = timeout(SETTLE + millis(self.site.span), all).await;
     }
 }
--- a/fault-soak/src/scenario.rs
+++ b/fault-soak/src/scenario.rs
@@ -287,9 +287,9 @@
 
 /// Clients that connect to a gateway that is held up.
 pub(crate) const HELD_CROWD: usize = 150;
-/// Crowds that a gateway's descriptors bear at once: where they run out, new connections may be shut unread, and the
-/// idle crowds of the other draws see to that.
-const CROWDS_AT_ONCE: usize = 3;
+/// Descriptors that a gateway of a hard scenario has at the least, so that they bear two such crowds: where they run out,
+/// new connections may be shut unread, and the idle crowds of the other draws see to that.
+const LEAST_DESCRIPTORS: usize = 2 * HELD_CROWD + 100;
 /// Of the troubles of a hard scenario one in so many is a crowd that comes while gateways are held up.
 const HELD_CROWD_EVERY: usize = 8;
 
@@ -299,7 +299,7 @@
     pub fn draw_hard(seed: u64, gateways: usize, span: Millis, density: f64) -> Scenario {
         let mut scenario = Scenario::draw_wide(seed, gateways, span, density);
         let mut dice = Dice(Rand64::new(u128::from(seed) ^ 0xc40d));
-        scenario.site.descriptors += CROWDS_AT_ONCE * HELD_CROWD;
+        scenario.site.descriptors = scenario.site.descriptors.max(LEAST_DESCRIPTORS);
         let first = scenario.events.first().map_or(QUIET_START, |event| event.at);
         let last = (scenario.site.span - QUIET_END).max(first + 1.0);
         let crowds = scenario.events.len().div_ceil(HELD_CROWD_EVERY);
--- a/fault-soak/src/troubles.rs
+++ b/fault-soak/src/troubles.rs
@@ -5,7 +5,7 @@
 use crate::discovery::State;
 use crate::gateway::{Gateway, LogReader};
 use crate::proxy::LineFaults;
-use crate::run::{millis, PlacedCounter, World};
+use crate::run::{all_of, millis, PlacedCounter, World};
 use crate::scenario::{Event, Misdeed, Trouble, HELD_CROWD};
 use crate::server::{Manners, Server};
 use crate::shim::Faults;
@@ -205,7 +205,7 @@
                 world.start_as(&gateway, start).await;
             });
         }
-        while restarts.join_next().await.is_some() {}
+        all_of(restarts).await;
     }
 
     async fn hold(&self, gateways: &[usize], lasts: Duration) {
@@ -218,7 +218,7 @@
             held.for_each(|gateway| {
                 holds.spawn(async move { gateway.hold(HOLD).await });
             });
-            while holds.join_next().await.is_some() {}
+            all_of(holds).await;
         }
     }
 
@@ -233,7 +233,7 @@
                 });
             });
         }
-        while crowds.join_next().await.is_some() {}
+        all_of(crowds).await;
     }
 
     async fn reload(&self, unreadable: bool, lasts: Duration) {
@@ -289,7 +289,7 @@
                 gateway.signal(Signal::HUP);
             }
         }
-        while writing.join_next().await.is_some() {}
+        all_of(writing).await;
     }
 
     async fn crowd_everywhere(&self, silent: bool, lasts: Duration) {
@@ -300,7 +300,7 @@
         for gateway in &self.gateways {
             crowds.spawn(idle_crowd(gateway.clone(), self.site.descriptors, lasts));
         }
-        while crowds.join_next().await.is_some() {}
+        all_of(crowds).await;
         if silent {
             self.discovery.behave(|manners| manners.down = false);
         }
