Withdraw no list that was heard before the configuration was there

Cause: its file was late, and discovery was followed meanwhile; the agent's address closed before a watch was confirmed, and behind 0.75 of the grace the list was withdrawn ('no server is sent to: discovery fell silent as no watch was open', 4.188), before the gateway had served: /healthz then answers 503 until the agent speaks. Ruled out: a configuration that was not whole (connections are accepted from 4.530 on). Why this works: a start goes by what it has heard, or by its file, as was decided for an agent that is silent from the start on; what is heard before the configuration is there leaves nothing unconfirmed. Test: discovery::a_gateway_whose_agent_fell_silent_while_the_configuration_was_late_serves_by_what_it_heard; before, no request reached the server within 20 s.

--- a/src/bin/brassport/discovery/contact.rs
+++ b/src/bin/brassport/discovery/contact.rs
@@ -53,14 +53,18 @@
         }
     }
 
-    /// Notes an answer that was written at `written` at the earliest, and logs it if discovery had been lost. What
-    /// discovery got later is not known until the next watch is confirmed.
-    pub fn heard(&self, revision: u64, written: Instant) {
+    /// Notes an answer, and logs it if discovery had been lost.
+    pub fn heard(&self, revision: u64) {
         let silence = self.last_heard.replace(Instant::now()).elapsed().as_secs_f64();
         if self.lost.take() {
             log::line(format!("discovery is back: revision {revision}, after {silence:.2} s without word"));
         }
         self.revision.set(Some(revision));
+    }
+
+    /// Notes that the last answer was written at `written` at the earliest: what discovery got later is not known until
+    /// the next watch is confirmed.
+    pub fn unconfirmed_from(&self, written: Instant) {
         self.unconfirmed_since.set(Some(written));
         self.reconsider();
     }
--- a/src/bin/brassport/discovery/schedule.rs
+++ b/src/bin/brassport/discovery/schedule.rs
@@ -41,7 +41,7 @@
     /// An agent of this gateway's own. What it has counts as told, and sends to a server that drains
     /// must stop within `grace`.
     Own { grace: Duration },
-    /// Not known yet, as the configuration is not there. No list is in use, so that none is withdrawn.
+    /// Not known yet, as the configuration is not there. Nothing is withdrawn then: a start goes by what it has.
     Unsettled,
     /// One service of fixed capacity for so many gateways.
     Shared { gateways: u32 },
--- a/src/bin/brassport/discovery/watch.rs
+++ b/src/bin/brassport/discovery/watch.rs
@@ -128,7 +128,10 @@
         let took = began.elapsed();
         log::trace(SUBJECT, || format!("after {:.1} ms: {outcome}", took.as_secs_f64() * 1000.0));
         if let Outcome::List(list) = &outcome {
-            self.contact.heard(list.rev, began + query.least_wait(list, took));
+            self.contact.heard(list.rev);
+            if self.schedule.borrow().most_unconfirmed().is_some() {
+                self.contact.unconfirmed_from(began + query.least_wait(list, took));
+            }
         }
         outcome
     }
--- a/tests/front_door/discovery.rs
+++ b/tests/front_door/discovery.rs
@@ -310,6 +310,24 @@
     assert_eq!(sent.load(Ordering::Relaxed), 0, "of 10 requests were sent to a server that drains");
 }
 
+// A start goes by what it has: one whose list was withdrawn before it served would not be ready until its agent speaks
+// (soak, hard seed 72001: not ready within 30 s).
+#[test]
+fn a_gateway_whose_agent_fell_silent_while_the_configuration_was_late_serves_by_what_it_heard() {
+    let (backend, agent) = (Peer::start(), Peer::start());
+    let mut config = config(agent.address, list(&[]));
+    config["settings"]["rules"]["stopSendingWithin"] = json!(1000.0);
+    let file = write_config(&config);
+    std::fs::write(&file, &config.to_string()[..99]).expect("the file is cut short");
+    let starting = Starting::spawn(&file, &config);
+    agent.next().ok(&list(&[target("s-00000001", backend.address, "ready")]).to_string());
+    let _watch = agent.next();
+    std::fs::write(&file, config.to_string()).expect("the file is whole");
+    let front = starting.listening(&config, file);
+    thread::sleep(Duration::from_millis(1500));
+    front.serves_from(&backend);
+}
+
 // The list in the file of a new process may be older than what its agent has, which answers within milliseconds.
 #[test]
 fn nothing_is_sent_by_the_list_in_the_file_before_the_agents_first_word() {
