Read the configuration once at a time at a start

A start whose first reading of the file took over 250 ms began a second one beside it. Where the file is a pipe the two take it from each other. Cause: the first reading was given up, and its thread went on. Why this works: a reading that hangs goes on alone while discovery is asked; only one that has ended is followed by another. Which of the file and the environment goes first is decided when the file has been read.

--- a/src/bin/brassport/config.rs
+++ b/src/bin/brassport/config.rs
@@ -185,6 +185,12 @@
 }
 
 impl Problem {
+    /// The file has not been read in time.
+    pub fn timed_out() -> Problem {
+        path()
+            .map_or_else(|problem| problem, |path| Problem::Unreadable(path, io::ErrorKind::TimedOut.into()))
+    }
+
     /// Whether it may be gone a moment later without anybody's doing.
     pub fn may_pass(&self) -> bool {
         match self {
@@ -206,17 +212,17 @@
 }
 
 /// Reads and checks the whole configuration. The file is read on a thread of its own: a folder that hangs holds up
-/// nothing else.
+/// nothing else. `first` is asked once the file has been read.
 ///
 /// # Errors
 /// What is missing or makes no sense, or that the file can't be read.
-pub async fn read(first: First) -> Result<Config, Problem> {
+pub async fn read(first: impl FnOnce() -> First) -> Result<Config, Problem> {
     let path = path()?;
     let read_from = path.clone();
     let reading = spawn_blocking(move || fs::read(read_from));
     let read = reading.await.unwrap_or_else(|error| Err(error.into()));
     let text = read.map_err(|error| Problem::Unreadable(path, error))?;
-    check(parse(&text)?, first).map_err(Problem::Invalid)
+    check(parse(&text)?, first()).map_err(Problem::Invalid)
 }
 
 /// The text as a configuration, its values not checked yet.
@@ -248,10 +254,10 @@
     let until = Instant::now() + patience;
     let mut pauses = Pauses::new();
     loop {
-        let problem = match timeout_at(until, read(first)).await {
+        let problem = match timeout_at(until, read(|| first)).await {
             Ok(Ok(config)) => return Ok(config),
             Ok(Err(problem)) => problem,
-            Err(_) => return Err(Problem::Unreadable(path()?, io::ErrorKind::TimedOut.into())),
+            Err(_) => return Err(Problem::timed_out()),
         };
         if !problem.may_pass() || Instant::now() >= until {
             return Err(problem);
--- a/src/bin/brassport/reload.rs
+++ b/src/bin/brassport/reload.rs
@@ -13,7 +13,7 @@
         let mut pauses = Pauses::new();
         let mut reported = false;
         loop {
-            let problem = match config::read(First::File).await {
+            let problem = match config::read(|| First::File).await {
                 Ok(config) => {
                     apply(config);
                     break;
--- a/src/bin/brassport/startup.rs
+++ b/src/bin/brassport/startup.rs
@@ -5,6 +5,7 @@
 use crate::discovery::{self, Following, Service, Source};
 use crate::retry;
 use springusher::Settings;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -47,21 +48,33 @@
 /// Reads the configuration and begins to follow the list. What the agent has counts as told from the start of the
 /// process on: where the file is late, discovery is asked at the address that the environment names.
 async fn read_and_follow() -> Result<(Config, Following), Problem> {
-    let first = timeout(FIRST_READ_PATIENCE, config::read(First::Environment)).await;
+    let began = Instant::now();
+    let is_late = || began.elapsed() >= FIRST_READ_PATIENCE;
+    let mut first_reading = pin!(config::read(|| if is_late() { First::File } else { First::Environment }));
+    let first = timeout(FIRST_READ_PATIENCE, &mut first_reading).await.ok();
     match first {
-        Ok(Ok(config)) => {
+        Some(Ok(config)) => {
             let discovery = discovery::follow(source(&config));
             return Ok((config, discovery));
         }
-        Ok(Err(problem)) if !problem.may_pass() => return Err(problem),
-        Ok(Err(_)) | Err(_) => {}
+        Some(Err(problem)) if !problem.may_pass() => return Err(problem),
+        Some(Err(_)) | None => {}
     }
     let early = config::discovery_in_environment().map(|address| {
         let seed = u64::from(std::process::id());
         discovery::follow(Source { address, service: Service::Unsettled, known: None, seed })
     });
-    // By now the file may have been replaced, and is newer than the environment.
-    let config = config::read_within(START_PATIENCE, First::File).await?;
+    // A reading that hangs goes on: two at a time could take the file from each other where it is a pipe.
+    let config = match first {
+        None => timeout(START_PATIENCE, first_reading).await.unwrap_or_else(|_| Err(Problem::timed_out())),
+        Some(failed) => failed,
+    };
+    let patience_left = START_PATIENCE.saturating_sub(began.elapsed());
+    let config = match config {
+        // By now the file may have been replaced, and is newer than the environment.
+        Err(problem) if problem.may_pass() => config::read_within(patience_left, First::File).await?,
+        config => config?,
+    };
     let discovery = match early {
         Some(discovery) => {
             discovery.source.send_replace(source(&config));
--- a/tests/front_door/peers.rs
+++ b/tests/front_door/peers.rs
@@ -84,7 +84,7 @@
         self.answer("200 OK", "", body);
     }
     /// The same for a call that may have been given up.
-    fn answer_if_open(mut self, body: &str) {
+    pub fn answer_if_open(mut self, body: &str) {
         let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
         if self.stream.write_all(answer.as_bytes()).is_ok() {
             read_on(self.stream, self.next);
--- a/tests/front_door/reload.rs
+++ b/tests/front_door/reload.rs
@@ -202,6 +202,26 @@
     assert!(status.success(), "{status}");
 }
 
+// Two readings at a time would take the file from each other.
+#[test]
+fn a_start_whose_file_takes_half_a_second_to_open_serves_by_it() {
+    let (backend, agent) = (Peer::start(), Peer::start());
+    let known = list(&[target("s-00000001", backend.address, "ready")]);
+    let config = config(agent.address, list(&[]));
+    let file = write_config(&config);
+    replace_by_pipe(&file);
+    let starting = Starting::spawn(&file, &config);
+    assert_eq!(agent.next().request.line, "GET /v1/servers HTTP/1.1", "asked meanwhile");
+    thread::sleep(Duration::from_millis(500));
+    std::fs::write(&file, config.to_string()).expect("the pipe is read");
+    thread::spawn(move || {
+        while let Ok(call) = agent.exchanges.recv() {
+            call.answer_if_open(&known.to_string());
+        }
+    });
+    starting.listening(&config, file).serves_from(&backend);
+}
+
 // The file was replaced while the gateway could not read it, and no signal told of it, as the gateway was not ready. It
 // asked the discovery of its environment from then on, which had moved (soak, seed 9308: sends to draining servers).
 #[test]
