--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -132,6 +132,20 @@
     })
 }
 
+/// Like [`start_server`], without lines in the record.
+pub fn start_quiet_server(work: Duration) -> io::Result<SocketAddr> {
+    listen(move |stream| {
+        let mut reader = Reader::new(stream);
+        while let Ok(Some(message)) = reader.message() {
+            thread::sleep(work);
+            let id = message.header("x-request-id").to_string();
+            if write_ok(&mut reader.stream, id.as_bytes()).is_err() {
+                return;
+            }
+        }
+    })
+}
+
 /// One entry of the list of servers.
 pub fn target(number: usize, address: SocketAddr, state: &str) -> String {
     format!(
@@ -253,14 +267,15 @@
 }
 
 /// The configuration of a gateway: the settings that the page of the wire gives as its example, with the aims and
-/// deadlines scaled to a front door of 140 requests a second as on the days of service, a plan whose quota no customer
-/// of these cases reaches, and without a counter.
+/// deadlines scaled to a front door of 140 requests a second as on the days of service, one plan with this rate and burst,
+/// and without a counter.
 pub fn config(
     address: SocketAddr,
     discovery: SocketAddr,
     targets: &[String],
     memory_mb: u64,
     sockets: u64,
+    (units_per_s, store): (f64, f64),
 ) -> String {
     format!(
         r#"{{"name":"n0","listen":"{address}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
@@ -283,7 +298,7 @@
 "lateShare":0.2,"stream":false}},
 {{"name":"submit-test","semantics":"guarded","group":"all","dedupWindow":12000.0,"worth":5.0,"slo":725.0,
 "deadline":2900.0,"lateShare":0.0,"stream":false}}],
-"plans":[{{"name":"basico","unitsPerS":1000.0,"storeSize":5000.0,"concurrency":0,"price":0.45,"excessWorth":0.0,
+"plans":[{{"name":"basico","unitsPerS":{units_per_s:.2},"storeSize":{store:.1},"concurrency":0,"price":0.45,"excessWorth":0.0,
 "overrunCost":1.0,"neverOverRate":0.0,"capDepth":0.0,"tolerance":0.0}}]}}}}"#,
         targets = targets.join(",")
     )
