Log a shortage of descriptors with connection stages; trace evictions

The log could not tell who held the descriptors, nor which connections were chosen to close and what became of that.

New: a line, once a second at most, when no descriptor is left for new clients, with the number of connections in each stage; trace lines for an eviction and for a close that is withdrawn, with the reason. The line for an accepted connection now comes before all others of that connection: it was written when its task first ran, so that an eviction before that was traced ahead of the accept.

--- a/src/bin/brassport/client_connections.rs
+++ b/src/bin/brassport/client_connections.rs
@@ -1,6 +1,7 @@
 //! The registry of client connections: the stage of each, its time-outs, and which to close when descriptors run out.
 
 use crate::client_stream::ClientSocket;
+use crate::log;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -56,6 +57,8 @@
 
 #[derive(Debug)]
 struct ConnectionState {
+    /// The client's port, by which the trace names the connection.
+    client_port: u16,
     stage: Cell<Stage>,
     /// When the time-out of the stage began.
     since: Cell<Instant>,
@@ -102,12 +105,13 @@
 
 impl ClientConnections {
     /// Adds a connection that was just accepted and may have been waiting for that since `queued_since`.
-    pub fn register(self: &Rc<Self>, queued_since: Option<Instant>) -> ClientConnection {
+    pub fn register(self: &Rc<Self>, client_port: u16, queued_since: Option<Instant>) -> ClientConnection {
         let now = Instant::now();
         let earliest = now.checked_sub(MAX_QUEUE_WAIT).unwrap_or(now);
         let number = self.last_number.get() + 1;
         self.last_number.set(number);
         let state = Rc::new(ConnectionState {
+            client_port,
             stage: Cell::new(Stage::New),
             since: Cell::new(queued_since.map_or(now, |since| since.max(earliest))),
             request_count: Cell::new(0),
@@ -145,11 +149,30 @@
             .or_else(|| longest_in(Stage::New, 0, Duration::ZERO))
             .or_else(|| longest_in(Stage::Idle, u32::MAX, MIN_IDLE));
         if let Some(state) = chosen {
+            log::trace(state.client_port, || {
+                format!("evicted, {:?} for {} ms", state.stage.get(), state.since.get().elapsed().as_millis())
+            });
             state.request_close();
         }
         chosen.is_some()
     }
 
+    /// The number of connections in each stage, for the log.
+    pub fn stage_counts(&self) -> String {
+        let all = self.by_number.borrow();
+        let count = |stage| all.values().filter(|state| state.stage.get() == stage).count();
+        format!(
+            "{} new, {} receiving a request, {} with a request in progress, {} idle, {} answered for the last time, \
+             {} closing",
+            count(Stage::New),
+            count(Stage::ReceivingRequest),
+            count(Stage::InRequest),
+            count(Stage::Idle),
+            count(Stage::Last),
+            count(Stage::Closing),
+        )
+    }
+
     /// Closes the connections whose time-outs have expired. With more than `many_threshold` connections, idle ones have
     /// shorter time-outs. At a shutdown (`closing`) idle ones are closed at once, and new ones once they are silent.
     ///
@@ -212,6 +235,7 @@
             if client_socket.has_no_input() {
                 return CloseReason::Unused;
             }
+            log::trace(self.state.client_port, || "stays open, as unread input was found".into());
             self.set_stage(Stage::ReceivingRequest);
         }
     }
@@ -219,7 +243,10 @@
     pub fn on_bytes_read(&self) {
         match self.stage() {
             Stage::Idle => self.set_stage(Stage::ReceivingRequest),
-            Stage::Closing if self.state.is_unused() => self.set_stage(Stage::ReceivingRequest),
+            Stage::Closing if self.state.is_unused() => {
+                log::trace(self.state.client_port, || "stays open, as input was read".into());
+                self.set_stage(Stage::ReceivingRequest);
+            }
             _ => self.state.next_request_begun.set(true),
         }
     }
--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -44,6 +44,8 @@
 const HEAD_LIMIT: usize = 16 * 1024;
 /// Interval between checks for connections whose time-outs have expired.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest interval between two lines of the log that say that no descriptor is left.
+const SHORTAGE_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// How long writing the rest of a response may take on a connection that is being closed.
 const FINAL_WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 /// The response to a request that does not arrive completely in time.
@@ -122,17 +124,27 @@
     };
     let mut connections = JoinSet::new();
     let mut was_empty = false;
+    let mut shortage_logged_at: Option<Instant> = None;
     let mut sweep_timer = interval(SWEEP_INTERVAL);
     sweep_timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        free_descriptors(1);
+        let shortage = !free_descriptors(1);
+        if shortage && shortage_logged_at.is_none_or(|at| at.elapsed() >= SHORTAGE_LOG_INTERVAL) {
+            shortage_logged_at = Some(Instant::now());
+            let stages = client_connections.stage_counts();
+            log::line(format!("no file descriptor is left for new clients; connections: {stages}"));
+        }
         tokio::select! {
             Some(_) = connections.join_next() => {}
             accepted = acceptor.accept() => {
                 was_empty = false;
                 let refuse_all = !free_descriptors(reserve);
-                let tracked = client_connections.register(accepted.queued_since);
-                connections.spawn_local(handle_connection(accepted, context.clone(), refuse_all, tracked));
+                let client_port = accepted.stream.peer_addr().map_or(0, |address| address.port());
+                let queued = accepted.queued_since.is_some();
+                log::trace(client_port, || format!("connection accepted, refuse_all {refuse_all}, queued {queued}"));
+                let tracked = client_connections.register(client_port, accepted.queued_since);
+                let connection = handle_connection(accepted, context.clone(), refuse_all, client_port, tracked);
+                connections.spawn_local(connection);
             }
             _ = sweep_timer.tick() => {
                 let closing = *context.phase.borrow() >= Phase::Closing;
@@ -154,15 +166,12 @@
     accepted: Accepted,
     context: Rc<ServeContext>,
     refuse_all: bool,
+    client_port: u16,
     tracked: ClientConnection,
 ) {
     let Accepted { stream, descriptor: _descriptor, queued_since } = accepted;
-    let port = stream.peer_addr().map_or(0, |address| address.port());
-    log::trace(port, || {
-        format!("connection accepted, refuse_all {refuse_all}, queued {}", queued_since.is_some())
-    });
     let end = serve_connection(stream, queued_since, context, refuse_all, tracked).await;
-    log::trace(port, || format!("connection closed: {end}"));
+    log::trace(client_port, || format!("connection closed: {end}"));
 }
 
 /// Why a client connection ended.
