Close connections with part of a request when descriptors run out

Evicting a connection requests its close; input that arrives before the close withdraws it. The withdrawal moved a connection from New to ReceivingRequest, and evict_one never chose that stage. So the same client, stopped at the same byte, could be evicted if its bytes were read before it was chosen (still New), and not for 2.5 s if they were read after that. At the rate of a crowd most are chosen first, as the reserve of descriptors is short. A withdrawal also restarted the 2.5 s (set_stage), so that an incomplete request could stay 2.5 s longer than from its connect. A connection whose body had not arrived was InRequest and never chosen either.

Why this fix works. A requested close no longer is a stage. A connection stays what it is: New before any byte of a request, ReceivingRequest from then until head and body are complete. evict_one ranks all stages but InRequest, and the longest partial request first. A withdrawn close leaves the stage's timer alone. If unread input withdraws an eviction, the connection is not chosen again until that input is read, so a whole request is never refused unread, and the loop that frees descriptors is woken to choose another. An evicted partial request is answered 429 with Retry-After: it did not run. A close that takes over 0.1 s no longer counts as a descriptor about to be free.

--- a/src/bin/brassport/client_connections.rs
+++ b/src/bin/brassport/client_connections.rs
@@ -27,34 +27,73 @@
 /// connection is then closed at a shutdown, and is among the first to be closed when descriptors run out.
 const SILENT_AFTER: Duration = Duration::from_millis(100);
 
+/// A pending close is expected to free the descriptor within this time: the client only has to receive the last response
+/// and close. After it, further connections are closed in its place when descriptors run out.
+const CLOSE_EXPECTED_WITHIN: Duration = Duration::from_millis(100);
+
 /// The stage that a connection is in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
-    /// No complete request has arrived on it yet.
+    /// Nothing of a request has arrived on it yet.
     New,
-    /// A request is being handled: its head has arrived and it is not answered yet.
+    /// Part of a request has arrived, but not all of its head and body.
+    ReceivingRequest,
+    /// A complete request is being handled.
     InRequest,
     /// Its last request is answered and nothing of another one has arrived.
     Idle,
-    /// Part of another request has arrived.
-    ReceivingRequest,
     /// It had its last response, a refusal or an error, and is about to close.
     Last,
-    /// Its close was requested.
-    Closing,
 }
 
-/// What a connection was doing when its close was requested.
+/// What a connection was doing when it has to close.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CloseReason {
     /// Nothing: no request was being received or handled.
     Unused,
     /// Receiving a request, which took too long.
-    PartialRequest,
+    RequestTimedOut,
+    /// Receiving a request, when its descriptor was needed for others.
+    RequestEvicted,
     /// Waiting for its client to close after the last response.
     Answered,
 }
 
+/// Why a connection was requested to close.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CloseCause {
+    /// The time-out of its stage expired.
+    TimedOut,
+    /// Its descriptor is needed for others.
+    Evicted,
+}
+
+/// A requested close that was neither carried out nor withdrawn yet.
+#[derive(Debug, Clone, Copy)]
+struct PendingClose {
+    cause: CloseCause,
+    requested_at: Instant,
+}
+
+/// How readily a connection is closed when descriptors run out: the first of these first, and of several equal ones the
+/// one longest in its stage.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum EvictionClass {
+    /// Its client has had the time to receive the last response.
+    Answered,
+    /// New, and its client has been silent for a while.
+    Silent,
+    IdleForLong,
+    /// Many clients that send one request and stay connected would hold the descriptors that new clients need; when
+    /// closed they can reconnect at once.
+    IdleAfterSingleRequest,
+    /// No complete request has arrived on it yet.
+    FirstRequest,
+    Idle,
+    /// A further request is arriving on it.
+    LaterRequest,
+}
+
 #[derive(Debug)]
 struct ConnectionState {
     /// The client's port, by which the trace names the connection.
@@ -62,37 +101,71 @@
     stage: Cell<Stage>,
     /// When the time-out of the stage began.
     since: Cell<Instant>,
+    /// The number of complete requests.
     request_count: Cell<u32>,
-    /// Whether part of the next request has been read.
-    next_request_begun: Cell<bool>,
-    /// The stage in which its close was requested.
-    stage_before_close: Cell<Stage>,
+    pending_close: Cell<Option<PendingClose>>,
+    /// Whether a close was withdrawn because of input that has not been read since.
+    has_unread_input: Cell<bool>,
     close_requested: Notify,
 }
 
 impl ConnectionState {
-    fn request_close(&self) {
-        self.stage_before_close.set(self.stage.replace(Stage::Closing));
+    fn request_close(&self, cause: CloseCause, now: Instant) {
+        self.pending_close.set(Some(PendingClose { cause, requested_at: now }));
         self.close_requested.notify_one();
     }
+
     /// Whether no request is being received or handled on it.
     fn is_unused(&self) -> bool {
-        let stage =
-            if self.stage.get() == Stage::Closing { self.stage_before_close.get() } else { self.stage.get() };
-        matches!(stage, Stage::New | Stage::Idle) && !self.next_request_begun.get()
+        matches!(self.stage.get(), Stage::New | Stage::Idle)
     }
-    /// Whether the time-out of its stage has expired.
-    fn is_overdue(&self, many_connections: bool, closing: bool) -> bool {
+
+    /// Whether its descriptor is about to be free.
+    fn is_closing(&self, now: Instant) -> bool {
+        let closing_since = match (self.pending_close.get(), self.stage.get()) {
+            (Some(close), _) => close.requested_at,
+            (None, Stage::Last) => self.since.get(),
+            (None, _) => return false,
+        };
+        now.saturating_duration_since(closing_since) < CLOSE_EXPECTED_WITHIN
+    }
+
+    /// Whether the time-out of its stage has expired and no close is pending.
+    fn is_overdue(&self, many_connections: bool, closing: bool, now: Instant) -> bool {
         let time_limit = match self.stage.get() {
             Stage::Idle if closing => Duration::ZERO,
-            Stage::New if closing && self.is_unused() => SILENT_AFTER,
+            Stage::New if closing => SILENT_AFTER,
             Stage::New | Stage::ReceivingRequest => REQUEST_TIMEOUT,
             Stage::Idle if many_connections && self.request_count.get() <= 1 => MIN_IDLE,
             Stage::Idle if many_connections => CROWDED_IDLE_TIMEOUT,
             Stage::Idle | Stage::Last => IDLE_TIMEOUT,
-            Stage::InRequest | Stage::Closing => return false,
+            Stage::InRequest => return false,
         };
-        self.since.get().elapsed() >= time_limit
+        self.pending_close.get().is_none() && self.time_in_stage(now) >= time_limit
+    }
+
+    /// How readily it is closed; `None` if it must not be closed now.
+    fn eviction_class(&self, now: Instant) -> Option<EvictionClass> {
+        if self.pending_close.get().is_some() || self.has_unread_input.get() {
+            return None;
+        }
+        let time_in_stage = self.time_in_stage(now);
+        match self.stage.get() {
+            Stage::Last if time_in_stage >= SILENT_AFTER => Some(EvictionClass::Answered),
+            Stage::New if time_in_stage >= SILENT_AFTER => Some(EvictionClass::Silent),
+            Stage::Idle if time_in_stage >= CROWDED_IDLE_TIMEOUT => Some(EvictionClass::IdleForLong),
+            Stage::Idle if time_in_stage < MIN_IDLE => None,
+            Stage::Idle if self.request_count.get() <= 1 => Some(EvictionClass::IdleAfterSingleRequest),
+            Stage::Idle => Some(EvictionClass::Idle),
+            Stage::New => Some(EvictionClass::FirstRequest),
+            Stage::ReceivingRequest if self.request_count.get() == 0 => Some(EvictionClass::FirstRequest),
+            Stage::ReceivingRequest => Some(EvictionClass::LaterRequest),
+            Stage::InRequest | Stage::Last => None,
+        }
+    }
+
+    fn time_in_stage(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.since.get())
     }
 }
 
@@ -101,6 +174,7 @@
 pub struct ClientConnections {
     by_number: RefCell<BTreeMap<u64, Rc<ConnectionState>>>,
     last_number: Cell<u64>,
+    close_withdrawn: Notify,
 }
 
 impl ClientConnections {
@@ -115,44 +189,36 @@
             stage: Cell::new(Stage::New),
             since: Cell::new(queued_since.map_or(now, |since| since.max(earliest))),
             request_count: Cell::new(0),
-            next_request_begun: Cell::new(false),
-            stage_before_close: Cell::new(Stage::New),
+            pending_close: Cell::new(None),
+            has_unread_input: Cell::new(false),
             close_requested: Notify::new(),
         });
         self.by_number.borrow_mut().insert(number, state.clone());
         ClientConnection { registry: self.clone(), number, state }
     }
 
-    /// The number of connections that were requested to close and are still open.
+    /// The number of connections whose descriptors are about to be free.
     pub fn closing_count(&self) -> usize {
-        self.by_number.borrow().values().filter(|state| state.stage.get() == Stage::Closing).count()
+        let now = Instant::now();
+        self.by_number.borrow().values().filter(|state| state.is_closing(now)).count()
+    }
+
+    /// Waits until a requested close has been withdrawn, which means that its descriptor is not about to be free.
+    pub async fn close_withdrawn(&self) {
+        self.close_withdrawn.notified().await;
     }
 
-    /// Closes the connection that its client is least likely to use again; false if there is none to close. The order
-    /// is: after its last response, new and silent, idle for long, idle after a single request, new, any other idle.
-    /// Of several the one longest in its stage is closed.
+    /// Closes the connection that is worth the least to its client; false if there is none to close.
     pub fn evict_one(&self) -> bool {
+        let now = Instant::now();
         let all = self.by_number.borrow();
-        let longest_in = |stage, max_requests, min_time| {
-            let matches = |state: &&Rc<ConnectionState>| {
-                state.stage.get() == stage && state.request_count.get() <= max_requests
-            };
-            let longest = all.values().filter(matches).min_by_key(|state| state.since.get());
-            longest.filter(|state| state.since.get().elapsed() >= min_time)
-        };
-        // Many clients that send one request and stay connected would hold the descriptors that new clients need;
-        // when closed they can reconnect at once.
-        let chosen = longest_in(Stage::Last, u32::MAX, SILENT_AFTER)
-            .or_else(|| longest_in(Stage::New, 0, SILENT_AFTER))
-            .or_else(|| longest_in(Stage::Idle, u32::MAX, CROWDED_IDLE_TIMEOUT))
-            .or_else(|| longest_in(Stage::Idle, 1, MIN_IDLE))
-            .or_else(|| longest_in(Stage::New, 0, Duration::ZERO))
-            .or_else(|| longest_in(Stage::Idle, u32::MAX, MIN_IDLE));
-        if let Some(state) = chosen {
+        let candidates = all.values().filter_map(|state| Some((state.eviction_class(now)?, state)));
+        let chosen = candidates.min_by_key(|(class, state)| (*class, state.since.get()));
+        if let Some((class, state)) = chosen {
             log::trace(state.client_port, || {
-                format!("evicted, {:?} for {} ms", state.stage.get(), state.since.get().elapsed().as_millis())
+                format!("evicted as {class:?} after {} ms", state.time_in_stage(now).as_millis())
             });
-            state.request_close();
+            state.request_close(CloseCause::Evicted, now);
         }
         chosen.is_some()
     }
@@ -162,14 +228,12 @@
         let all = self.by_number.borrow();
         let count = |stage| all.values().filter(|state| state.stage.get() == stage).count();
         format!(
-            "{} new, {} receiving a request, {} with a request in progress, {} idle, {} answered for the last time, \
-             {} closing",
+            "{} new, {} receiving a request, {} with a request in progress, {} idle, {} answered for the last time",
             count(Stage::New),
             count(Stage::ReceivingRequest),
             count(Stage::InRequest),
             count(Stage::Idle),
             count(Stage::Last),
-            count(Stage::Closing),
         )
     }
 
@@ -181,10 +245,11 @@
     /// before descriptors run out here, and keep other clients out. The cost: with many connections, a client that
     /// rarely sends requests has to reconnect.
     pub fn close_expired(&self, many_threshold: usize, closing: bool) {
+        let now = Instant::now();
         let all = self.by_number.borrow();
         let many_connections = all.len() > many_threshold;
-        for state in all.values().filter(|state| state.is_overdue(many_connections, closing)) {
-            state.request_close();
+        for state in all.values().filter(|state| state.is_overdue(many_connections, closing, now)) {
+            state.request_close(CloseCause::TimedOut, now);
         }
     }
 }
@@ -199,17 +264,20 @@
 impl ClientConnection {
     /// Records a new stage. This withdraws a requested close, as the connection turned out to be in use.
     pub fn set_stage(&self, stage: Stage) {
-        // The time-out of a request runs from its first byte, not from the end of its head.
-        let head_complete =
-            matches!(self.stage(), Stage::New | Stage::ReceivingRequest) && stage == Stage::InRequest;
-        if !head_complete {
+        // The time-out of a request runs until it is complete: from the start of the connection or, for a later request,
+        // from its first byte.
+        let is_same_request = matches!(
+            (self.stage(), stage),
+            (Stage::New, Stage::ReceivingRequest) | (Stage::ReceivingRequest, Stage::InRequest)
+        );
+        if !is_same_request {
             self.state.since.set(Instant::now());
         }
-        self.state.next_request_begun.set(stage == Stage::ReceivingRequest);
         if stage == Stage::InRequest {
             self.state.request_count.set(self.state.request_count.get().saturating_add(1));
         }
         self.state.stage.set(stage);
+        self.withdraw_close();
     }
     pub fn stage(&self) -> Stage {
         self.state.stage.get()
@@ -218,36 +286,40 @@
     pub fn request_deadline(&self) -> Instant {
         self.state.since.get() + REQUEST_TIMEOUT
     }
-    /// Waits until the connection has to close, and returns what it was doing. An unused connection stays open if part
-    /// of a request has arrived meanwhile, even if it is still unread; a system call checks that.
+    /// Waits until the connection has to close, and returns what it was doing. It stays open for now if its client has
+    /// sent something that is still unread, except that its request must not take longer than its time-out.
     pub async fn close_requested(&self, client_socket: &ClientSocket) -> CloseReason {
         loop {
             self.state.close_requested.notified().await;
-            if self.stage() != Stage::Closing {
-                continue;
-            }
-            if !self.state.is_unused() {
-                return match self.state.stage_before_close.get() {
-                    Stage::New | Stage::ReceivingRequest => CloseReason::PartialRequest,
-                    _ => CloseReason::Answered,
-                };
-            }
+            let Some(close) = self.state.pending_close.get() else { continue };
+            let reason = match (self.stage(), close.cause) {
+                (Stage::Last, _) => return CloseReason::Answered,
+                (Stage::ReceivingRequest, CloseCause::TimedOut) => return CloseReason::RequestTimedOut,
+                (Stage::ReceivingRequest, CloseCause::Evicted) => CloseReason::RequestEvicted,
+                (Stage::New | Stage::Idle | Stage::InRequest, _) => CloseReason::Unused,
+            };
             if client_socket.has_no_input() {
-                return CloseReason::Unused;
+                return reason;
             }
             log::trace(self.state.client_port, || "stays open, as unread input was found".into());
-            self.set_stage(Stage::ReceivingRequest);
+            if self.state.is_unused() {
+                self.set_stage(Stage::ReceivingRequest);
+            } else {
+                self.withdraw_close();
+            }
+            self.state.has_unread_input.set(true);
         }
     }
     /// Records that part of a request was read.
     pub fn on_bytes_read(&self) {
-        match self.stage() {
-            Stage::Idle => self.set_stage(Stage::ReceivingRequest),
-            Stage::Closing if self.state.is_unused() => {
-                log::trace(self.state.client_port, || "stays open, as input was read".into());
-                self.set_stage(Stage::ReceivingRequest);
-            }
-            _ => self.state.next_request_begun.set(true),
+        self.state.has_unread_input.set(false);
+        if self.state.is_unused() {
+            self.set_stage(Stage::ReceivingRequest);
+        }
+    }
+    fn withdraw_close(&self) {
+        if self.state.pending_close.take().is_some() {
+            self.registry.close_withdrawn.notify_one();
         }
     }
 }
@@ -257,3 +329,6 @@
         self.registry.by_number.borrow_mut().remove(&self.number);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -136,6 +136,7 @@
         }
         tokio::select! {
             Some(_) = connections.join_next() => {}
+            () = client_connections.close_withdrawn() => {}
             accepted = acceptor.accept() => {
                 was_empty = false;
                 let refuse_all = !free_descriptors(reserve);
@@ -208,14 +209,17 @@
     let client = ClientSocket::new(socket, queued_since);
     let client_stream = ClientStream::new(client.clone(), tracked.clone());
     let service = service_fn(|request: Request<Incoming>| {
-        tracked.set_stage(Stage::InRequest);
-        let head_arrived = client.begin_request(request.body().size_hint().upper().unwrap_or(0));
+        let body_length = request.body().size_hint().upper().unwrap_or(0);
+        if body_length == 0 {
+            tracked.set_stage(Stage::InRequest);
+        }
+        let head_arrived = client.begin_request(body_length);
         let (context, tracked, client) = (context.clone(), tracked.clone(), client.clone());
         async move {
             let response = if refuse_all {
                 Err(refusal(context.settings.max_retry_after))
             } else {
-                answer(&context, request, tracked.request_deadline(), head_arrived, &client).await
+                answer(&context, request, &tracked, head_arrived, &client).await
             };
             tracked.set_stage(if response.is_err() { Stage::Last } else { Stage::Idle });
             // Pipelined requests that have arrived are answered before the connection closes. `has_left` reads
@@ -238,21 +242,21 @@
         ended = &mut serving => (ended, ConnectionEnd::Announced),
         reason = tracked.close_requested(&client) => match reason {
             CloseReason::Answered => return ConnectionEnd::ClosedByGateway(reason),
-            // The client is not reading: a 408 written now would land in the middle of an earlier response.
-            CloseReason::PartialRequest if client.is_write_blocked() => {
+            // The client is not reading: a response written now would land in the middle of an earlier one.
+            CloseReason::RequestTimedOut if client.is_write_blocked() => {
                 return ConnectionEnd::ClosedByGateway(reason);
             }
-            CloseReason::PartialRequest => {
-                // The rest of the request may arrive at this moment, so the client gets a response, not only a close.
-                tracked.set_stage(Stage::Last);
-                let mut stream = serving.into_parts().io.into_inner();
-                let written = timeout(FINAL_WRITE_TIMEOUT, stream.write_all(REQUEST_TIMEOUT_RESPONSE)).await;
-                if matches!(written, Ok(Ok(()))) {
-                    linger(stream, &tracked, &client).await;
-                }
+            CloseReason::RequestEvicted if !client.is_write_blocked() => {
+                let response = refusal_bytes(context.settings.max_retry_after);
+                respond_to_partial_request(serving.into_parts().io.into_inner(), &response, &tracked, &client).await;
+                return ConnectionEnd::ClosedByGateway(reason);
+            }
+            CloseReason::RequestTimedOut => {
+                let stream = serving.into_parts().io.into_inner();
+                respond_to_partial_request(stream, REQUEST_TIMEOUT_RESPONSE, &tracked, &client).await;
                 return ConnectionEnd::ClosedByGateway(reason);
             }
-            CloseReason::Unused => {
+            CloseReason::Unused | CloseReason::RequestEvicted => {
                 // Its last response may not be written completely yet.
                 std::pin::Pin::new(&mut serving).graceful_shutdown();
                 let Ok(ended) = timeout(FINAL_WRITE_TIMEOUT, &mut serving).await else {
@@ -272,6 +276,21 @@
     end
 }
 
+/// Answers a request that has not arrived completely. The rest of it may arrive at this moment, so the client gets a
+/// response, not only a close.
+async fn respond_to_partial_request(
+    mut stream: ClientStream,
+    response: &[u8],
+    tracked: &ClientConnection,
+    client: &ClientSocket,
+) {
+    tracked.set_stage(Stage::Last);
+    let written = timeout(FINAL_WRITE_TIMEOUT, stream.write_all(response)).await;
+    if matches!(written, Ok(Ok(()))) {
+        linger(stream, tracked, client).await;
+    }
+}
+
 /// Keeps a connection open after its last response until the client has received it, unless the descriptor is
 /// needed for others.
 async fn linger(stream: ClientStream, tracked: &ClientConnection, client: &ClientSocket) {
@@ -281,12 +300,12 @@
     }
 }
 
-/// Answers a request; `Err` holds a response after which the connection must be closed. The whole request must
-/// arrive by `receive_deadline`; its head arrived at `head_arrived`.
+/// Answers a request, whose head arrived at `head_arrived`; `Err` holds a response after which the connection must be
+/// closed.
 async fn answer(
     context: &ServeContext,
     mut request: Request<Incoming>,
-    receive_deadline: Instant,
+    tracked: &ClientConnection,
     head_arrived: Instant,
     client: &Rc<ClientSocket>,
 ) -> Result<Response<Full<Bytes>>, Response<Full<Bytes>>> {
@@ -322,12 +341,15 @@
         _ = phase.wait_for(|phase| *phase == Phase::Ended) => {
             return Err(refusal(context.settings.max_retry_after));
         }
-        body = timeout_at(receive_deadline, body.collect()) => match body {
+        body = timeout_at(tracked.request_deadline(), body.collect()) => match body {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(_)) => return Err(text_response(StatusCode::BAD_REQUEST, "the body is broken")),
             Err(_) => return Err(text_response(StatusCode::REQUEST_TIMEOUT, "the body did not come")),
         },
     };
+    if length > 0 {
+        tracked.set_stage(Stage::InRequest);
+    }
     let deadline = head_arrived + valid.client_timeout.saturating_sub(TRANSIT_ALLOWANCE);
     if client.has_ended() {
         return Err(text_response(StatusCode::BAD_REQUEST, "its client has gone"));
@@ -368,14 +390,25 @@
 /// A 429 response, with a Retry-After header if `retry_after_ms` is above 0.
 fn refusal(retry_after_ms: f64) -> Response<Full<Bytes>> {
     let mut response = text_response(StatusCode::TOO_MANY_REQUESTS, "");
-    if retry_after_ms > 0.0 {
-        if let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", retry_after_ms / 1000.0)) {
-            response.headers_mut().insert(header::RETRY_AFTER, seconds);
-        }
+    if let Some(Ok(seconds)) = retry_after_seconds(retry_after_ms).map(HeaderValue::try_from) {
+        response.headers_mut().insert(header::RETRY_AFTER, seconds);
     }
     response
 }
 
+/// The same response in bytes, for a connection that closes after it.
+fn refusal_bytes(retry_after_ms: f64) -> Vec<u8> {
+    let retry_after = retry_after_seconds(retry_after_ms);
+    let retry_after = retry_after.map_or(String::new(), |seconds| format!("Retry-After: {seconds}\r\n"));
+    format!("HTTP/1.1 429 Too Many Requests\r\n{retry_after}Connection: close\r\nContent-Length: 0\r\n\r\n")
+        .into_bytes()
+}
+
+/// The value of a Retry-After header, if there is to be one.
+fn retry_after_seconds(retry_after_ms: f64) -> Option<String> {
+    (retry_after_ms > 0.0).then(|| format!("{:.3}", retry_after_ms / 1000.0))
+}
+
 /// The header names that the Connection headers of a message list.
 fn connection_options(headers: &HeaderMap) -> impl Iterator<Item = &str> {
     let values = headers.get_all(header::CONNECTION).into_iter();
--- a/tests/gateway_process/main.rs
+++ b/tests/gateway_process/main.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod clocks;
 mod counter;
+mod descriptors;
 mod discovery;
 mod peers;
 mod process;
