Count silence of a new connection from its accept when choosing what to close

What callers saw: while clients wait to be accepted, a connection that was accepted that moment could be closed, for want of descriptors or at a shutdown, before its client's request was there and before connections that had been idle for seconds.

Cause: the timer of a connection that had to wait starts up to 2 s before its accept, as its request may have been waiting so long. evict_one and close_expired took that time for silence of the client (SILENT_AFTER, 0.1 s).

Now the request's time-out counts from the possible arrival as before, and the time in a stage from the accept on. Test: time_in_the_accept_queue_is_no_silence_of_the_client, which failed before.

Tried and taken back: a bound of the time in the accept queue by the number of connections that it can hold.

--- a/src/bin/brassport/client_connections.rs
+++ b/src/bin/brassport/client_connections.rs
@@ -99,7 +99,8 @@
     /// The client's port, by which the trace names the connection.
     client_port: u16,
     stage: Cell<Stage>,
-    /// When the time-out of the stage began.
+    accepted_at: Instant,
+    /// When the time-out of the stage began. For a connection that had to wait to be accepted, that is before its accept.
     since: Cell<Instant>,
     /// The number of complete requests.
     request_count: Cell<u32>,
@@ -134,14 +135,14 @@
     fn is_overdue(&self, many_connections: bool, closing: bool, now: Instant) -> bool {
         let time_limit = match self.stage.get() {
             Stage::Idle if closing => Duration::ZERO,
-            Stage::New if closing => SILENT_AFTER,
+            Stage::New if closing && self.time_in_stage(now) >= SILENT_AFTER => Duration::ZERO,
             Stage::New | Stage::ReceivingRequest => REQUEST_TIMEOUT,
             Stage::Idle if many_connections && self.request_count.get() <= 1 => MIN_IDLE,
             Stage::Idle if many_connections => CROWDED_IDLE_TIMEOUT,
             Stage::Idle | Stage::Last => IDLE_TIMEOUT,
             Stage::InRequest => return false,
         };
-        self.pending_close.get().is_none() && self.time_in_stage(now) >= time_limit
+        self.pending_close.get().is_none() && now.saturating_duration_since(self.since.get()) >= time_limit
     }
 
     /// How readily it is closed; `None` if it must not be closed now.
@@ -164,8 +165,13 @@
         }
     }
 
+    /// Since when it is known to be in its stage. The time in the queue says nothing about the client.
+    fn in_stage_since(&self) -> Instant {
+        self.since.get().max(self.accepted_at)
+    }
+
     fn time_in_stage(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.since.get())
+        now.saturating_duration_since(self.in_stage_since())
     }
 }
 
@@ -187,6 +193,7 @@
         let state = Rc::new(ConnectionState {
             client_port,
             stage: Cell::new(Stage::New),
+            accepted_at: now,
             since: Cell::new(queued_since.map_or(now, |since| since.max(earliest))),
             request_count: Cell::new(0),
             pending_close: Cell::new(None),
@@ -213,7 +220,7 @@
         let now = Instant::now();
         let all = self.by_number.borrow();
         let candidates = all.values().filter_map(|state| Some((state.eviction_class(now)?, state)));
-        let chosen = candidates.min_by_key(|(class, state)| (*class, state.since.get()));
+        let chosen = candidates.min_by_key(|(class, state)| (*class, state.in_stage_since()));
         if let Some((class, state)) = chosen {
             log::trace(state.client_port, || {
                 format!("evicted as {class:?} after {} ms", state.time_in_stage(now).as_millis())
--- a/src/bin/brassport/client_connections/tests.rs
+++ b/src/bin/brassport/client_connections/tests.rs
@@ -109,41 +109,53 @@
 #[tokio::test(start_paused = true)]
 async fn connections_are_evicted_in_the_order_of_their_worth_to_the_clients() {
     let connections = registry();
-    // Each entry: the stages that a connection passes through, and the time that it then spends in the last one.
     let served = [Stage::ReceivingRequest, Stage::InRequest, Stage::Idle];
-    let served_twice = [served, served].concat();
-    let histories: [(&str, &[Stage], Duration); 7] = [
-        ("a later request", &[&served[..], &[Stage::ReceivingRequest]].concat(), Duration::ZERO),
-        ("idle", &served_twice, MIN_IDLE),
-        ("a first request", &[Stage::ReceivingRequest], Duration::ZERO),
-        ("idle after a single request", &served, MIN_IDLE),
-        ("idle for long", &served_twice, CROWDED_IDLE_TIMEOUT),
-        ("silent", &[], SILENT_AFTER),
-        ("answered", &[Stage::Last], SILENT_AFTER),
-    ];
-    let started = Instant::now();
-    let open = histories.map(|(name, stages, time_in_stage)| {
+    let open = |name: &'static str, stages: &[Stage]| {
         let connection = connections.register(0, None);
         stages.iter().for_each(|stage| connection.set_stage(*stage));
-        connection.state.since.set(started - time_in_stage);
         (name, connection)
-    });
-    for _ in 0..2 {
-        let in_request = connections.register(0, None);
-        in_request.set_stage(Stage::InRequest);
-        std::mem::forget(in_request);
-    }
-    let mut evicted = Vec::new();
-    while connections.evict_one() {
-        let is_evicted = |name: &str, connection: &ClientConnection| {
-            connection.state.pending_close.get().is_some() && !evicted.contains(&name)
-        };
-        let (name, _) =
-            open.iter().find(|(name, connection)| is_evicted(name, connection)).expect("one of them");
-        evicted.push(name);
+    };
+    let idle_for_long = open("idle for long", &[served, served].concat());
+    advance(CROWDED_IDLE_TIMEOUT - MIN_IDLE).await;
+    let idle = open("idle", &[served, served].concat());
+    let idle_after_single_request = open("idle after a single request", &served);
+    advance(MIN_IDLE - SILENT_AFTER).await;
+    let (silent, answered) = (open("silent", &[]), open("answered", &[Stage::Last]));
+    advance(SILENT_AFTER).await;
+    let later_request = open("later request", &[&served[..], &[Stage::ReceivingRequest]].concat());
+    let first_request = open("first request", &[Stage::ReceivingRequest]);
+    let in_request = open("in request", &[Stage::InRequest]);
+    let order =
+        [answered, silent, idle_for_long, idle_after_single_request, first_request, idle, later_request];
+    for (name, connection) in &order {
+        assert!(connections.evict_one());
+        assert!(connection.state.pending_close.get().is_some(), "{name} comes next");
     }
-    let expected: Vec<&str> = histories.iter().rev().map(|(name, ..)| *name).collect();
-    assert_eq!(evicted, expected);
+    assert!(!connections.evict_one());
+    assert!(in_request.1.state.pending_close.get().is_none());
+}
+
+// The time in the accept queue counted as silence: of connections that had to wait, those that had just been accepted were
+// closed before all idle ones.
+#[tokio::test(start_paused = true)]
+async fn time_in_the_accept_queue_is_no_silence_of_the_client() {
+    let connections = registry();
+    let idle = connections.register(0, None);
+    idle.set_stage(Stage::Idle);
+    advance(CROWDED_IDLE_TIMEOUT).await;
+    let queued_since = Instant::now() - MAX_QUEUE_WAIT;
+    let accepted_late = connections.register(0, Some(queued_since));
+    assert_eq!(accepted_late.request_deadline(), queued_since + REQUEST_TIMEOUT);
+    assert!(connections.evict_one());
+    assert!(idle.state.pending_close.get().is_some());
+    connections.close_expired(0, true);
+    assert!(accepted_late.state.pending_close.get().is_none());
+    advance(SILENT_AFTER).await;
+    connections.close_expired(0, true);
+    assert!(
+        accepted_late.state.pending_close.get().is_some(),
+        "it is silent, and the process is shutting down"
+    );
 }
 
 #[tokio::test(start_paused = true)]
