--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -3,22 +3,23 @@
 use crate::acceptor::{Accepted, Acceptor};
 use crate::backends::{Backends, Message, BODY_LIMIT};
 use crate::client_connections::{ClientConnection, ClientConnections, CloseReason, Stage};
+use crate::client_request::validate;
+use crate::client_response::{refusal, refusal_bytes, text_response, REQUEST_TIMEOUT_RESPONSE};
 use crate::client_stream::{ClientSocket, ClientStream};
 use crate::config::NameTables;
 use crate::dispatcher::{Answer, Dispatcher};
+use crate::forwarded_headers::forwarded_headers;
 use crate::host_header;
 use crate::log;
 use crate::socket::Socket;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::http::request::Parts;
+use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use percent_encoding::percent_decode_str;
-use springusher::{Idempotency, Settings};
+use springusher::Settings;
 use std::convert::Infallible;
 use std::fmt;
 use std::rc::Rc;
@@ -48,39 +49,6 @@
 const SHORTAGE_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// How long writing the rest of a response may take on a connection that is being closed.
 const FINAL_WRITE_TIMEOUT: Duration = Duration::from_secs(2);
-/// The response to a request that does not arrive completely in time.
-const REQUEST_TIMEOUT_RESPONSE: &[u8] =
-    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
-/// Customer numbers are below this.
-const CUSTOMER_LIMIT: u64 = 1 << 33;
-/// Size limit of a request id in bytes.
-const ID_LIMIT: usize = 128;
-/// Headers that define the request. Each may occur only once, and `Connection` must not name one.
-const REQUEST_HEADERS: [&str; 9] = [
-    "host",
-    "x-request-id",
-    "x-class",
-    "plan",
-    "cookie",
-    "x-deadline",
-    "quota-info",
-    "x-retry",
-    "idempotency-key",
-];
-/// Headers that are not forwarded: those of a single connection, and those addressed to this gateway.
-const NOT_FORWARDED: [HeaderName; 11] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    HeaderName::from_static("proxy-connection"),
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    header::EXPECT,
-    header::CONTENT_LENGTH,
-    HeaderName::from_static("usage-percent"),
-    HeaderName::from_static("x-load"),
-];
 
 /// The phase of a graceful shutdown, in order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd)]
@@ -321,8 +289,8 @@
         return Ok(text_response(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, ""));
     }
     let (head, body) = request.into_parts();
-    let valid =
-        validate(&head, context).map_err(|problem| text_response(StatusCode::BAD_REQUEST, problem))?;
+    let valid = validate(&head, &context.names, &context.settings)
+        .map_err(|problem| text_response(StatusCode::BAD_REQUEST, problem))?;
     // The length is known before the body arrives, so a body that is too long never occupies memory.
     let length = body.size_hint().upper().and_then(|length| usize::try_from(length).ok());
     let length = length.filter(|length| *length <= BODY_LIMIT);
@@ -380,162 +348,3 @@
         Answer::Failed => text_response(StatusCode::GATEWAY_TIMEOUT, "no answer of a backend"),
     })
 }
-
-fn text_response(status: StatusCode, line: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(line.as_bytes())));
-    *response.status_mut() = status;
-    response
-}
-
-/// A 429 response, with a Retry-After header if `retry_after_ms` is above 0.
-fn refusal(retry_after_ms: f64) -> Response<Full<Bytes>> {
-    let mut response = text_response(StatusCode::TOO_MANY_REQUESTS, "");
-    if let Some(Ok(seconds)) = retry_after_seconds(retry_after_ms).map(HeaderValue::try_from) {
-        response.headers_mut().insert(header::RETRY_AFTER, seconds);
-    }
-    response
-}
-
-/// The same response in bytes, for a connection that closes after it.
-fn refusal_bytes(retry_after_ms: f64) -> Vec<u8> {
-    let retry_after = retry_after_seconds(retry_after_ms);
-    let retry_after = retry_after.map_or(String::new(), |seconds| format!("Retry-After: {seconds}\r\n"));
-    format!("HTTP/1.1 429 Too Many Requests\r\n{retry_after}Connection: close\r\nContent-Length: 0\r\n\r\n")
-        .into_bytes()
-}
-
-/// The value of a Retry-After header, if there is to be one.
-fn retry_after_seconds(retry_after_ms: f64) -> Option<String> {
-    (retry_after_ms > 0.0).then(|| format!("{:.3}", retry_after_ms / 1000.0))
-}
-
-/// The header names that the Connection headers of a message list.
-fn connection_options(headers: &HeaderMap) -> impl Iterator<Item = &str> {
-    let values = headers.get_all(header::CONNECTION).into_iter();
-    values.filter_map(|value| value.to_str().ok()).flat_map(|names| names.split(',').map(str::trim))
-}
-
-/// The headers of a message that are forwarded to the other side.
-fn forwarded_headers(mut headers: HeaderMap) -> HeaderMap {
-    let connection_headers: Vec<HeaderName> =
-        connection_options(&headers).filter_map(|name| name.parse().ok()).collect();
-    for name in connection_headers {
-        headers.remove(name);
-    }
-    for name in NOT_FORWARDED {
-        headers.remove(name);
-    }
-    headers
-}
-
-/// A request that passed validation.
-struct ValidRequest {
-    id: String,
-    request: springusher::Request,
-    /// How long its client waits for the response.
-    client_timeout: Duration,
-    uri: hyper::Uri,
-}
-
-/// Checks a request, so that malformed ones are not forwarded.
-fn validate(head: &Parts, context: &ServeContext) -> Result<ValidRequest, &'static str> {
-    // Of two headers that contradict each other a server might use the one that this gateway did not.
-    if REQUEST_HEADERS.iter().any(|name| head.headers.get_all(*name).iter().nth(1).is_some()) {
-        return Err("a header stands there twice");
-    }
-    // Headers that Connection names are not forwarded, and a repeated request without its id or idempotency key
-    // would run a second time.
-    let is_request_header =
-        |name: &str| REQUEST_HEADERS.iter().any(|header| name.eq_ignore_ascii_case(header));
-    if connection_options(&head.headers).any(is_request_header) {
-        return Err("Connection names a header of the request");
-    }
-    let field = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok()).map(str::trim);
-    let id = field("x-request-id").filter(|id| (1..=ID_LIMIT).contains(&id.len()));
-    let id = id.filter(|id| id.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte)));
-    let id = id.ok_or("X-Request-Id is missing or no id")?.to_string();
-    // Names come from the settings and may contain any characters, so their bytes are compared.
-    let index = |names: &[String], field: &str| {
-        let name = head.headers.get(field)?.as_bytes().trim_ascii();
-        names.iter().position(|known| known.as_bytes() == name)
-    };
-    let class = index(&context.names.classes, "x-class").ok_or("X-Class names no class")?;
-    let first_segment = head.uri.path().split('/').nth(1).unwrap_or_default();
-    if !percent_decode_str(first_segment).eq(context.names.classes[class].bytes()) {
-        return Err("the path does not begin with the class");
-    }
-    // GET is for idempotent classes only and the only method for them: the method alone shows whether a request
-    // may be sent again.
-    if (context.settings.classes[class].idempotency == Idempotency::Idempotent)
-        != (head.method == Method::GET)
-    {
-        return Err("the method is not the class's");
-    }
-    // Servers recognise a repeated request by its key; without one it would run a second time.
-    let keyed = matches!(context.settings.classes[class].idempotency, Idempotency::Keyed { .. });
-    if keyed && field("idempotency-key").is_none_or(str::is_empty) {
-        return Err("the class wants an Idempotency-Key");
-    }
-    let plan = index(&context.names.plans, "plan").ok_or("Plan names no plan")?;
-    let customer = field("cookie").and_then(parse_customer).ok_or("the cookie names no client")?;
-    let class_deadline = Duration::from_secs_f64(context.settings.classes[class].deadline / 1000.0);
-    let client_timeout = field("x-deadline")
-        .and_then(parse_duration)
-        .ok_or("X-Deadline is no length of time")?
-        .min(class_deadline);
-    let quota = field("quota-info").and_then(|text| parse_quota(text, &context.settings));
-    let (units, spread) = quota.ok_or("Quota-Info makes no sense")?;
-    let target = head.uri.path_and_query().ok_or("the request has no path")?;
-    let request = springusher::Request {
-        id: 0,
-        customer,
-        plan,
-        class,
-        units,
-        spread,
-        expires_in: 0.0,
-        is_client_retry: field("x-retry") == Some("1"),
-    };
-    Ok(ValidRequest { id, request, client_timeout, uri: target.clone().into() })
-}
-
-fn parse_customer(cookies: &str) -> Option<u64> {
-    let mut clients = cookies.split(';').filter_map(|cookie| cookie.trim().strip_prefix("client="));
-    let digits = clients.next()?;
-    if clients.next().is_some()
-        || digits.len() != 16
-        || !digits.bytes().all(|digit| digit.is_ascii_hexdigit())
-    {
-        return None;
-    }
-    u64::from_str_radix(digits, 16).ok().filter(|customer| *customer < CUSTOMER_LIMIT)
-}
-
-/// A length of time: a number followed by `m` for milliseconds or `u` for microseconds.
-fn parse_duration(text: &str) -> Option<Duration> {
-    let (number, units_per_second) = match text.strip_suffix('m') {
-        Some(number) => (number, 1e3),
-        None => (text.strip_suffix('u')?, 1e6),
-    };
-    let number = number.parse::<f64>().ok().filter(|number| *number > 0.0)?;
-    Duration::try_from_secs_f64(number / units_per_second).ok()
-}
-
-/// The units and the number of gateways in the customer's set. A key that occurs twice is ambiguous and rejected.
-fn parse_quota(text: &str, settings: &Settings) -> Option<(f64, u32)> {
-    let value = |name: &str| {
-        let mut values = text.split(',').filter_map(|pair| {
-            let (key, value) = pair.split_once('=')?;
-            (key.trim() == name).then_some(value.trim())
-        });
-        values.next().filter(|_| values.next().is_none())
-    };
-    let units = value("units")?.parse::<f64>().ok()?;
-    let spread = value("spread")?.parse::<u32>().ok()?;
-    let first = value("first")?.parse::<u32>().ok()?;
-    let valid = units > 0.0
-        && units <= settings.max_units
-        && (1..=settings.gateways).contains(&spread)
-        && first < settings.gateways;
-    valid.then_some((units, spread))
-}
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -4,6 +4,8 @@
 mod acceptor;
 mod backends;
 mod client_connections;
+mod client_request;
+mod client_response;
 mod client_stream;
 mod clients;
 mod clock;
@@ -11,6 +13,7 @@
 mod counter;
 mod discovery;
 mod dispatcher;
+mod forwarded_headers;
 mod guard;
 mod host_header;
 mod http_connection;
