Review of the change: one form of each response, one count, no repeated calls

No change of behaviour; what reading the whole change once more found: - The 408 and the 429 on a connection that closes were written out as bytes beside the responses of the same meaning. encode_last makes the bytes from those; the branches that send them are one. - The count of requests was raised where a request is complete, in two places with conditions that exclude each other. It is raised with the response now, and the stage of a complete request is set in one place. - The client's port is taken from accept instead of a getpeername for each connection, and is passed along once. - Connections were counted for the reserve of descriptors on each turn of the loop, also when enough were free. - A client that got its last response could be closed after one constant and counted as closing by another; it is one. - Tests: GatewayProcess::with_descriptors in place of three copies; the flag that stops clients is set up before anything can fail.

--- a/src/bin/brassport/acceptor.rs
+++ b/src/bin/brassport/acceptor.rs
@@ -40,6 +40,7 @@
 /// An accepted connection.
 pub struct Accepted {
     pub stream: TcpStream,
+    pub client_port: u16,
     /// The permit for its file descriptor, out of those that the process may have open.
     pub descriptor: OwnedSemaphorePermit,
     /// Since when its first input may have been waiting in the kernel, if the connection had to wait.
@@ -82,9 +83,10 @@
         loop {
             let descriptor = self.acquire_descriptor().await;
             match poll_fn(|context| self.poll_accept(context)).await {
-                Ok(stream) => {
+                Ok((stream, client)) => {
                     self.failures.set(0);
-                    return Accepted { stream, descriptor, queued_since: self.stalled_since.get() };
+                    let queued_since = self.stalled_since.get();
+                    return Accepted { stream, client_port: client.port(), descriptor, queued_since };
                 }
                 Err(_) => {
                     self.mark_stalled();
@@ -110,12 +112,12 @@
         }
     }
 
-    fn poll_accept(&self, context: &mut std::task::Context<'_>) -> Poll<io::Result<TcpStream>> {
+    fn poll_accept(&self, context: &mut std::task::Context<'_>) -> Poll<io::Result<(TcpStream, SocketAddr)>> {
         let accepted = self.listener.poll_accept(context);
         if accepted.is_pending() {
             self.stalled_since.set(None);
         }
-        accepted.map_ok(|(stream, _)| stream)
+        accepted
     }
 }
 
--- a/src/bin/brassport/client_connections.rs
+++ b/src/bin/brassport/client_connections.rs
@@ -87,7 +87,7 @@
     /// Many clients that send one request and stay connected would hold the descriptors that new clients need; when
     /// closed they can reconnect at once.
     IdleAfterSingleRequest,
-    /// No complete request has arrived on it yet.
+    /// No request on it has been answered yet.
     FirstRequest,
     Idle,
     /// A further request is arriving on it.
@@ -102,8 +102,8 @@
     accepted_at: Instant,
     /// When the time-out of the stage began. For a connection that had to wait to be accepted, that is before its accept.
     since: Cell<Instant>,
-    /// The number of complete requests.
-    request_count: Cell<u32>,
+    /// The number of requests after whose response it stayed open.
+    answered_count: Cell<u32>,
     pending_close: Cell<Option<PendingClose>>,
     /// Whether a close was withdrawn because of input that has not been read since.
     has_unread_input: Cell<bool>,
@@ -137,7 +137,7 @@
             Stage::Idle if closing => Duration::ZERO,
             Stage::New if closing && self.time_in_stage(now) >= SILENT_AFTER => Duration::ZERO,
             Stage::New | Stage::ReceivingRequest => REQUEST_TIMEOUT,
-            Stage::Idle if many_connections && self.request_count.get() <= 1 => MIN_IDLE,
+            Stage::Idle if many_connections && self.answered_count.get() <= 1 => MIN_IDLE,
             Stage::Idle if many_connections => CROWDED_IDLE_TIMEOUT,
             Stage::Idle | Stage::Last => IDLE_TIMEOUT,
             Stage::InRequest => return false,
@@ -152,14 +152,14 @@
         }
         let time_in_stage = self.time_in_stage(now);
         match self.stage.get() {
-            Stage::Last if time_in_stage >= SILENT_AFTER => Some(EvictionClass::Answered),
+            Stage::Last if time_in_stage >= CLOSE_EXPECTED_WITHIN => Some(EvictionClass::Answered),
             Stage::New if time_in_stage >= SILENT_AFTER => Some(EvictionClass::Silent),
             Stage::Idle if time_in_stage >= CROWDED_IDLE_TIMEOUT => Some(EvictionClass::IdleForLong),
             Stage::Idle if time_in_stage < MIN_IDLE => None,
-            Stage::Idle if self.request_count.get() <= 1 => Some(EvictionClass::IdleAfterSingleRequest),
+            Stage::Idle if self.answered_count.get() <= 1 => Some(EvictionClass::IdleAfterSingleRequest),
             Stage::Idle => Some(EvictionClass::Idle),
             Stage::New => Some(EvictionClass::FirstRequest),
-            Stage::ReceivingRequest if self.request_count.get() == 0 => Some(EvictionClass::FirstRequest),
+            Stage::ReceivingRequest if self.answered_count.get() == 0 => Some(EvictionClass::FirstRequest),
             Stage::ReceivingRequest => Some(EvictionClass::LaterRequest),
             Stage::InRequest | Stage::Last => None,
         }
@@ -195,7 +195,7 @@
             stage: Cell::new(Stage::New),
             accepted_at: now,
             since: Cell::new(queued_since.map_or(now, |since| since.max(earliest))),
-            request_count: Cell::new(0),
+            answered_count: Cell::new(0),
             pending_close: Cell::new(None),
             has_unread_input: Cell::new(false),
             close_requested: Notify::new(),
@@ -280,8 +280,8 @@
         if !is_same_request {
             self.state.since.set(Instant::now());
         }
-        if stage == Stage::InRequest {
-            self.state.request_count.set(self.state.request_count.get().saturating_add(1));
+        if stage == Stage::Idle {
+            self.state.answered_count.set(self.state.answered_count.get().saturating_add(1));
         }
         self.state.stage.set(stage);
         self.withdraw_close();
--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -4,7 +4,7 @@
 use crate::backends::{Backends, Message, BODY_LIMIT};
 use crate::client_connections::{ClientConnection, ClientConnections, CloseReason, Stage};
 use crate::client_request::validate;
-use crate::client_response::{refusal, refusal_bytes, text_response, REQUEST_TIMEOUT_RESPONSE};
+use crate::client_response::{encode_last, refusal, text_response};
 use crate::client_stream::{ClientSocket, ClientStream};
 use crate::config::NameTables;
 use crate::dispatcher::{Answer, Dispatcher};
@@ -82,8 +82,12 @@
     // Closes idle connections until `least` descriptors are free or about to be; false if that is not possible.
     // Otherwise idle connections could hold all descriptors. Those that a client is least likely to use again
     // are closed first.
+    let is_short_of = |least: usize| {
+        let missing = least.saturating_sub(descriptors.available_permits());
+        missing > 0 && client_connections.closing_count() < missing
+    };
     let free_descriptors = |least: usize| {
-        while descriptors.available_permits() + client_connections.closing_count() < least {
+        while is_short_of(least) {
             if !client_connections.evict_one() && !context.backends.close_longest_idle() {
                 return false;
             }
@@ -108,11 +112,10 @@
             accepted = acceptor.accept() => {
                 was_empty = false;
                 let refuse_all = !free_descriptors(reserve);
-                let client_port = accepted.stream.peer_addr().map_or(0, |address| address.port());
-                let queued = accepted.queued_since.is_some();
+                let (client_port, queued) = (accepted.client_port, accepted.queued_since.is_some());
                 log::trace(client_port, || format!("connection accepted, refuse_all {refuse_all}, queued {queued}"));
                 let tracked = client_connections.register(client_port, accepted.queued_since);
-                let connection = handle_connection(accepted, context.clone(), refuse_all, client_port, tracked);
+                let connection = handle_connection(accepted, context.clone(), refuse_all, tracked);
                 connections.spawn_local(connection);
             }
             _ = sweep_timer.tick() => {
@@ -135,10 +138,9 @@
     accepted: Accepted,
     context: Rc<ServeContext>,
     refuse_all: bool,
-    client_port: u16,
     tracked: ClientConnection,
 ) {
-    let Accepted { stream, descriptor: _descriptor, queued_since } = accepted;
+    let Accepted { stream, client_port, descriptor: _descriptor, queued_since } = accepted;
     let end = serve_connection(stream, queued_since, context, refuse_all, tracked).await;
     log::trace(client_port, || format!("connection closed: {end}"));
 }
@@ -178,9 +180,6 @@
     let client_stream = ClientStream::new(client.clone(), tracked.clone());
     let service = service_fn(|request: Request<Incoming>| {
         let body_length = request.body().size_hint().upper().unwrap_or(0);
-        if body_length == 0 {
-            tracked.set_stage(Stage::InRequest);
-        }
         let head_arrived = client.begin_request(body_length);
         let (context, tracked, client) = (context.clone(), tracked.clone(), client.clone());
         async move {
@@ -209,19 +208,17 @@
         biased;
         ended = &mut serving => (ended, ConnectionEnd::Announced),
         reason = tracked.close_requested(&client) => match reason {
-            CloseReason::Answered => return ConnectionEnd::ClosedByGateway(reason),
-            // The client is not reading: a response written now would land in the middle of an earlier one.
-            CloseReason::RequestTimedOut if client.is_write_blocked() => {
-                return ConnectionEnd::ClosedByGateway(reason);
-            }
-            CloseReason::RequestEvicted if !client.is_write_blocked() => {
-                let response = refusal_bytes(context.settings.max_retry_after);
-                respond_to_partial_request(serving.into_parts().io.into_inner(), &response, &tracked, &client).await;
+            CloseReason::RequestTimedOut | CloseReason::RequestEvicted if !client.is_write_blocked() => {
+                let response = match reason {
+                    CloseReason::RequestEvicted => refusal(context.settings.max_retry_after),
+                    _ => text_response(StatusCode::REQUEST_TIMEOUT, ""),
+                };
+                let stream = serving.into_parts().io.into_inner();
+                respond_to_partial_request(stream, &response, &tracked, &client).await;
                 return ConnectionEnd::ClosedByGateway(reason);
             }
-            CloseReason::RequestTimedOut => {
-                let stream = serving.into_parts().io.into_inner();
-                respond_to_partial_request(stream, REQUEST_TIMEOUT_RESPONSE, &tracked, &client).await;
+            // After a time-out the client is not reading: a response would land in the middle of an earlier one.
+            CloseReason::Answered | CloseReason::RequestTimedOut => {
                 return ConnectionEnd::ClosedByGateway(reason);
             }
             CloseReason::Unused | CloseReason::RequestEvicted => {
@@ -248,12 +245,12 @@
 /// response, not only a close.
 async fn respond_to_partial_request(
     mut stream: ClientStream,
-    response: &[u8],
+    response: &Response<Full<Bytes>>,
     tracked: &ClientConnection,
     client: &ClientSocket,
 ) {
     tracked.set_stage(Stage::Last);
-    let written = timeout(FINAL_WRITE_TIMEOUT, stream.write_all(response)).await;
+    let written = timeout(FINAL_WRITE_TIMEOUT, stream.write_all(&encode_last(response))).await;
     if matches!(written, Ok(Ok(()))) {
         linger(stream, tracked, client).await;
     }
@@ -315,9 +312,7 @@
             Err(_) => return Err(text_response(StatusCode::REQUEST_TIMEOUT, "the body did not come")),
         },
     };
-    if length > 0 {
-        tracked.set_stage(Stage::InRequest);
-    }
+    tracked.set_stage(Stage::InRequest);
     let deadline = head_arrived + valid.client_timeout.saturating_sub(TRANSIT_ALLOWANCE);
     if client.has_ended() {
         return Err(text_response(StatusCode::BAD_REQUEST, "its client has gone"));
--- a/tests/gateway_process/clients.rs
+++ b/tests/gateway_process/clients.rs
@@ -245,9 +245,7 @@
 #[test]
 fn idle_connections_are_closed_when_descriptors_run_out() {
     let backend = Peer::start();
-    let mut config = config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]));
-    config["limits"]["sockets"] = json!(48);
-    let gateway = GatewayProcess::start(&config);
+    let gateway = GatewayProcess::with_descriptors(backend.address, 48);
     let serve = |client: &mut Client| {
         client.send(&get(""));
         backend.next_request().ok("served");
--- a/tests/gateway_process/descriptors.rs
+++ b/tests/gateway_process/descriptors.rs
@@ -1,7 +1,6 @@
 //! Clients that hold file descriptors without sending whole requests.
 
 use crate::peers::*;
-use serde_json::json;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -48,12 +47,11 @@
 
 fn whole_requests_are_answered_beside(beginning: &str) {
     let backend = Peer::start();
-    let mut config = config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]));
-    config["limits"]["sockets"] = json!(DESCRIPTORS);
-    let gateway = GatewayProcess::start(&config);
+    let gateway = GatewayProcess::with_descriptors(backend.address, DESCRIPTORS);
     let _served = answer_all(backend);
     let done = AtomicBool::new(false);
     thread::scope(|scope| {
+        let stop_stalled_clients = SetOnDrop(&done);
         // They are accepted faster than they are read.
         gateway.signal("-STOP");
         let stalled: Vec<_> = (0..STALLED_CLIENTS)
@@ -61,7 +59,6 @@
             .collect();
         thread::sleep(CONNECT_TIME);
         gateway.signal("-CONT");
-        let stop_stalled_clients = SetOnDrop(&done);
         let answered_after: Vec<Duration> = (0..WHOLE_REQUESTS)
             .map(|_| {
                 let mut client = gateway.client();
@@ -100,9 +97,7 @@
 #[test]
 fn partial_request_that_is_evicted_is_refused_with_retry_after() {
     let backend = Peer::start();
-    let mut config = config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]));
-    config["limits"]["sockets"] = json!(48);
-    let gateway = GatewayProcess::start(&config);
+    let gateway = GatewayProcess::with_descriptors(backend.address, 48);
     let half_body = post("a job").replace("Content-Length: 5", "Content-Length: 1000");
     let mut partial: Vec<Client> = Vec::new();
     for beginning in [&get("")[..100], &half_body].repeat(10) {
--- a/tests/gateway_process/peers.rs
+++ b/tests/gateway_process/peers.rs
@@ -370,6 +370,12 @@
             .collect();
         GatewayProcess::start(&config(closed_port(), list(&targets)))
     }
+    /// Starts a gateway with one backend whose settings allow this number of file descriptors.
+    pub fn with_descriptors(backend: SocketAddr, descriptors: u32) -> GatewayProcess {
+        let mut config = config(closed_port(), list(&[target("s-00000001", backend, "ready")]));
+        config["limits"]["sockets"] = json!(descriptors);
+        GatewayProcess::start(&config)
+    }
     pub fn client(&self) -> Client {
         let stream = TcpStream::connect(self.address).expect("the gateway accepts");
         stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("a time-out");
