Test: a drain that the agent receives between two outages; it fails (KNOWN-RED)

Traced: discovery is back for 0.2 s between two outages; the gateway's call from before the return is never answered, and its next one begins after the end of the return.

--- a/tests/gateway_process/discovery.rs
+++ b/tests/gateway_process/discovery.rs
@@ -380,3 +380,35 @@
     }
     assert_eq!(sent.load(Ordering::Relaxed), 0, "of 10 requests were sent to a draining server");
 }
+
+// The agent answers for 0.2 s between two outages, and learns meanwhile that a server drains. It counts as notified from its
+// return on, but the gateway waits all that time for the answer to a call from before the return, and goes on sending to
+// the server through the second outage (soak, wide seed 9519: sends up to 2667 ms after the change, with a drain grace of
+// 1870 ms).
+#[test]
+fn a_drain_that_the_agent_receives_between_two_outages_is_obeyed() {
+    const DRAIN_GRACE: Duration = Duration::from_millis(1870);
+    const AVAILABLE: Duration = Duration::from_millis(200);
+    let (backend, agent) = (Peer::start(), Peer::start());
+    let known = list(&[target("s-00000001", backend.address, "ready")]);
+    let mut config = config(agent.address, known.clone());
+    config["settings"]["rules"]["stopSendingWithin"] = json!(DRAIN_GRACE.as_millis());
+    let gateway = GatewayProcess::start(&config);
+    agent.next_request().ok(&known.to_string());
+    let watch = agent.next_request();
+    agent.next_request().ok(&json!({"rev": 1, "all": false, "targets": []}).to_string());
+    let _unanswered = [watch, agent.next_request()];
+    let returned_at = Instant::now();
+    let mut drains = list(&[target("s-00000001", backend.address, "draining")]);
+    drains["rev"] = json!(2);
+    while let Ok(call) = agent.exchanges.recv_timeout(AVAILABLE.saturating_sub(returned_at.elapsed())) {
+        call.ok(&drains.to_string());
+    }
+    thread::sleep((DRAIN_GRACE + Duration::from_millis(50)).saturating_sub(returned_at.elapsed()));
+    let sent = answer_all(backend);
+    let mut client = gateway.client();
+    for _ in 0..10 {
+        client.send(&get("")).read();
+    }
+    assert_eq!(sent.load(Ordering::Relaxed), 0, "of 10 requests were sent to a draining server");
+}
