--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -223,7 +223,7 @@
 
 /// Discovery is asked for its list, and is so crowded that a call waits for its turn.
 pub fn slow_list(folder: &Path) -> bool {
-    const TURN: Duration = Duration::from_millis(2500);
+    const TURN: Duration = Duration::from_millis(2400);
     /// "a change counts as told at the latest 6 s after discovery had it and could be reached"
     const TOLD_AFTER: f64 = 6.0;
     let arrivals = Arrivals::default();
@@ -249,3 +249,64 @@
     gateways.iter().for_each(|gateway| record(&gateway.log()));
     held
 }
+
+/// Bad clients send hundreds of requests at once, and again as soon as these are answered, from customers that come once.
+pub fn memory(folder: &Path) -> bool {
+    /// "For requests, clients hold at most a third of the descriptors": 341 of 1,024.
+    const CLIENTS: usize = 150;
+    const REQUESTS: usize = 200;
+    const LIMIT_MB: f64 = 192.0;
+    const DURATION: f64 = 60.0;
+    let arrivals = Arrivals::default();
+    let servers = servers(WORK, &arrivals);
+    let mut deployment = deployment(folder, &servers);
+    let gateway = &mut deployment[0].1;
+    let (address, stop, answered) = (gateway.address, Arc::default(), Arc::new(AtomicU64::new(0)));
+    start_load(address, 4, Duration::from_millis(100), GATEWAYS, &stop);
+    for _ in 0..if trouble() { CLIENTS } else { 0 } {
+        let (stop, answered) = (stop.clone(), answered.clone());
+        spawn(move || {
+            while !stop.load(Ordering::Relaxed) {
+                let Ok(stream) = TcpStream::connect(address) else { continue };
+                send_repeatedly(stream, REQUESTS, &stop, &answered);
+            }
+        });
+    }
+    let (until, mut next_line, mut held) = (now() + DURATION, 0.0, true);
+    while held && now() < until {
+        sleep(Duration::from_millis(50));
+        let used = gateway.memory_mb();
+        if now() >= next_line || used > LIMIT_MB {
+            say(&format!("{} answers to bad clients, {used:.1} MB", answered.load(Ordering::Relaxed)));
+            next_line = now() + 1.0;
+        }
+        if used > LIMIT_MB {
+            say("CRASH the platform kills the gateway, as it is over memory_mb");
+            gateway.kill();
+            held = false;
+        } else if gateway.wait_for_end(Duration::ZERO) {
+            say("CRASH the gateway has ended by itself");
+            held = false;
+        }
+    }
+    stop.store(true, Ordering::Relaxed);
+    held
+}
+
+/// Sends that many requests at once and reads the answers, again and again until the connection ends.
+fn send_repeatedly(stream: TcpStream, requests: usize, stop: &AtomicBool, answered: &AtomicU64) -> Option<()> {
+    let writer = stream.try_clone().ok()?;
+    let mut reader = BufReader::new(stream);
+    while !stop.load(Ordering::Relaxed) {
+        let batch = |_| request("lookup", 3000, GATEWAYS, 0).bytes;
+        let all: Vec<u8> = (0..requests).flat_map(batch).collect();
+        let mut writer = writer.try_clone().ok()?;
+        // Answers are read while the rest is being written.
+        spawn(move || writer.write_all(&all));
+        for _ in 0..requests {
+            read_message(&mut reader).ok().flatten()?;
+            answered.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+    None
+}
