--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -16,11 +16,11 @@
 }
 
 /// All gateways of the deployment, each with an agent of its own.
-fn deployment(folder: &Path, servers: &[Server]) -> Vec<(Agent, Gateway)> {
+fn deployment(folder: &Path, servers: &[Server], limits: Limits) -> Vec<(Agent, Gateway)> {
     const NAMES: [&str; GATEWAYS] = ["agent 0", "agent 1"];
     let start = |ordinal| {
         let agent = Agent::start(NAMES[ordinal], servers);
-        let gateway = Gateway::start(folder, &agent, "pushed", GATEWAYS, ordinal);
+        let gateway = Gateway::start(folder, &agent, limits, GATEWAYS, ordinal);
         (agent, gateway)
     };
     let all: Vec<_> = (0..GATEWAYS).map(start).collect();
@@ -59,7 +59,7 @@
     const SUBMIT_WORK: Duration = Duration::from_millis(200);
     let arrivals = Arrivals::default();
     let servers = servers(SUBMIT_WORK, &arrivals);
-    let deployment = deployment(folder, &servers);
+    let deployment = deployment(folder, &servers, MOST);
     let address = deployment[0].1.address;
     let submit = || request("submit-test", TIME_MS, GATEWAYS, BODY_BYTES);
     let requests: Vec<Request> = (0..REQUESTS).map(|_| submit()).collect();
@@ -114,7 +114,7 @@
     const TERM_TO_KILL: Duration = Duration::from_millis(3800);
     let arrivals = Arrivals::default();
     let servers = servers(WORK, &arrivals);
-    let mut deployment = deployment(folder, &servers);
+    let mut deployment = deployment(folder, &servers, MOST);
     let address = deployment[0].1.address;
     let clients: Vec<_> = (0..CLIENTS)
         .map(|_| {
@@ -137,6 +137,59 @@
     lost == 0
 }
 
+/// Bad clients stop in the middle of a body and stay. Usual clients send a few requests at once meanwhile.
+pub fn bodies(folder: &Path) -> bool {
+    /// "For requests, clients hold at most a third of the descriptors": 85 of 256.
+    const BAD_CLIENTS: usize = 70;
+    const CLIENTS: usize = 10;
+    const ROUNDS: usize = 5;
+    const REQUESTS: usize = 5;
+    const TIME_MS: u64 = 3000;
+    let arrivals = Arrivals::default();
+    let servers = servers(WORK, &arrivals);
+    let deployment = deployment(folder, &servers, LEAST);
+    let address = deployment[0].1.address;
+    let stop: Arc<AtomicBool> = Arc::default();
+    if trouble() {
+        (0..BAD_CLIENTS).for_each(|_| start_half_bodies(address, &stop));
+        say(&format!("{BAD_CLIENTS} bad clients stop in the middle of a body"));
+    }
+    sleep(Duration::from_millis(500));
+    let rounds = move || -> Vec<Ending> {
+        let mut endings = Vec::new();
+        for _ in 0..ROUNDS {
+            let mut requests = vec![request("submit-test", TIME_MS, GATEWAYS, 2000)];
+            requests.extend((1..REQUESTS).map(|_| request("lookup", TIME_MS, GATEWAYS, 0)));
+            endings.extend(send_at_once(address, &requests, Duration::from_secs(10)));
+            sleep(Duration::from_millis(300));
+        }
+        endings
+    };
+    let clients: Vec<_> = (0..CLIENTS).map(|_| spawn(rounds)).collect();
+    let endings: Vec<Ending> = clients.into_iter().flat_map(|client| client.join().unwrap()).collect();
+    stop.store(true, Ordering::Relaxed);
+    let lost = lost(&endings, TIME_MS as f64 / 1000.0);
+    say(&format!("{} requests: {}", endings.len(), count_statuses(&endings)));
+    say(&format!("lost: {lost}"));
+    lost == 0
+}
+
+/// A bad client that sends a head and half of a body of 64 KiB, waits for its error or close, and does so again.
+fn start_half_bodies(address: SocketAddr, stop: &Arc<AtomicBool>) {
+    let stop = stop.clone();
+    spawn(move || {
+        while !stop.load(Ordering::Relaxed) {
+            let Ok(mut stream) = TcpStream::connect(address) else { continue };
+            let whole = request("submit-test", 6000, GATEWAYS, 64 * 1024).bytes;
+            let _ = stream.write_all(&whole[..whole.len() - 32 * 1024]);
+            let connected = now();
+            let _ = stream.read_to_end(&mut Vec::new());
+            record(&format!("a bad client was turned away after {:.3} s", now() - connected));
+            sleep(Duration::from_millis(20));
+        }
+    });
+}
+
 /// Sends to a server after `limit`, which is when they must have ended.
 fn sends_after(arrivals: &Arrivals, server: usize, limit: f64) -> bool {
     let all = arrivals.all();
@@ -154,7 +207,7 @@
     const OUTAGE: f64 = 8.0;
     let arrivals = Arrivals::default();
     let servers = servers(Duration::from_millis(20), &arrivals);
-    let mut deployment = deployment(folder, &servers);
+    let mut deployment = deployment(folder, &servers, MOST);
     let (agent, gateway) = &mut deployment[0];
     let stop = Arc::new(AtomicBool::new(false));
     start_load(gateway.address, 4, Duration::from_millis(60), GATEWAYS, &stop);
@@ -194,7 +247,7 @@
     const TOLD_AFTER: f64 = 4.0;
     let arrivals = Arrivals::default();
     let servers = servers(Duration::from_millis(20), &arrivals);
-    let mut deployment = deployment(folder, &servers);
+    let mut deployment = deployment(folder, &servers, MOST);
     let (agent, gateway) = &mut deployment[0];
     let stop = Arc::new(AtomicBool::new(false));
     start_load(gateway.address, 4, Duration::from_millis(60), GATEWAYS, &stop);
@@ -207,7 +260,7 @@
     }
     let down_until = now() + OUTAGE;
     sleep(Duration::from_millis(200));
-    gateway.write_config(&new, &agent.list(), "pushed", GATEWAYS, 0);
+    gateway.write_config(&new, &agent.list(), GATEWAYS, 0);
     let told = now() + TOLD_AFTER;
     gateway.signal(SIGHUP, "SIGHUP");
     wait_until(down_until);
@@ -220,93 +273,3 @@
     record(&gateway.log());
     held
 }
-
-/// Discovery is asked for its list, and is so crowded that a call waits for its turn.
-pub fn slow_list(folder: &Path) -> bool {
-    const TURN: Duration = Duration::from_millis(2400);
-    /// "a change counts as told at the latest 6 s after discovery had it and could be reached"
-    const TOLD_AFTER: f64 = 6.0;
-    let arrivals = Arrivals::default();
-    let servers = servers(Duration::from_millis(20), &arrivals);
-    let discovery = Agent::start("discovery", &servers);
-    let start = |ordinal| Gateway::start(folder, &discovery, "on_request", GATEWAYS, ordinal);
-    let gateways: Vec<Gateway> = (0..GATEWAYS).map(start).collect();
-    gateways.iter().for_each(Gateway::wait_until_ready);
-    let stop = Arc::new(AtomicBool::new(false));
-    for gateway in &gateways {
-        start_load(gateway.address, 3, Duration::from_millis(60), GATEWAYS, &stop);
-    }
-    sleep(Duration::from_secs(2));
-    if trouble() {
-        discovery.set_turn(TURN);
-        sleep(Duration::from_secs(3));
-    }
-    discovery.drain(&servers[0]);
-    let told = now() + TOLD_AFTER;
-    sleep(Duration::from_secs(20));
-    stop.store(true, Ordering::Relaxed);
-    let held = sends_after(&arrivals, 0, told + DRAIN_GRACE + SOCKET_SLACK);
-    gateways.iter().for_each(|gateway| record(&gateway.log()));
-    held
-}
-
-/// Bad clients send hundreds of requests at once, and again as soon as these are answered, from customers that come once.
-pub fn memory(folder: &Path) -> bool {
-    /// "For requests, clients hold at most a third of the descriptors": 341 of 1,024.
-    const CLIENTS: usize = 150;
-    const REQUESTS: usize = 200;
-    const LIMIT_MB: f64 = 192.0;
-    const DURATION: f64 = 60.0;
-    let arrivals = Arrivals::default();
-    let servers = servers(WORK, &arrivals);
-    let mut deployment = deployment(folder, &servers);
-    let gateway = &mut deployment[0].1;
-    let (address, stop, answered) = (gateway.address, Arc::default(), Arc::new(AtomicU64::new(0)));
-    start_load(address, 4, Duration::from_millis(100), GATEWAYS, &stop);
-    for _ in 0..if trouble() { CLIENTS } else { 0 } {
-        let (stop, answered) = (stop.clone(), answered.clone());
-        spawn(move || {
-            while !stop.load(Ordering::Relaxed) {
-                let Ok(stream) = TcpStream::connect(address) else { continue };
-                send_repeatedly(stream, REQUESTS, &stop, &answered);
-            }
-        });
-    }
-    let (until, mut next_line, mut held) = (now() + DURATION, 0.0, true);
-    while held && now() < until {
-        sleep(Duration::from_millis(50));
-        let used = gateway.memory_mb();
-        if now() >= next_line || used > LIMIT_MB {
-            say(&format!("{} answers to bad clients, {used:.1} MB", answered.load(Ordering::Relaxed)));
-            next_line = now() + 1.0;
-        }
-        if used > LIMIT_MB {
-            say("CRASH the platform kills the gateway, as it is over memory_mb");
-            gateway.kill();
-            held = false;
-        } else if gateway.wait_for_end(Duration::ZERO) {
-            say("CRASH the gateway has ended by itself");
-            held = false;
-        }
-    }
-    stop.store(true, Ordering::Relaxed);
-    held
-}
-
-/// Sends that many requests at once and reads the answers, again and again until the connection ends.
-fn send_repeatedly(stream: TcpStream, requests: usize, stop: &AtomicBool, answered: &AtomicU64) -> Option<()> {
-    let writer = stream.try_clone().ok()?;
-    let mut reader = BufReader::new(stream);
-    while !stop.load(Ordering::Relaxed) {
-        let batch = |_| request("lookup", 3000, GATEWAYS, 0).bytes;
-        let all: Vec<u8> = (0..requests).flat_map(batch).collect();
-        let mut writer = writer.try_clone().ok()?;
-        // Answers are read while the rest is being written.
-        spawn(move || writer.write_all(&all));
-        for _ in 0..requests {
-            read_message(&mut reader).ok().flatten()?;
-            answered.fetch_add(1, Ordering::Relaxed);
-        }
-    }
-    None
-}
