--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -134,6 +134,7 @@
     say(&format!("{} requests: {}", endings.len(), count_statuses(&endings)));
     let lost = lost(&endings, TIME_MS as f64 / 1000.0);
     say(&format!("lost: {lost}"));
+    record(&deployment[0].1.log());
     lost == 0
 }
 
