--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -16,11 +16,11 @@
 }
 
 /// All gateways of the deployment, each with an agent of its own.
-fn deployment(folder: &Path, servers: &[Server], limits: Limits) -> Vec<(Agent, Gateway)> {
+fn deployment(folder: &Path, servers: &[Server]) -> Vec<(Agent, Gateway)> {
     const NAMES: [&str; GATEWAYS] = ["agent 0", "agent 1"];
     let start = |ordinal| {
         let agent = Agent::start(NAMES[ordinal], servers);
-        let gateway = Gateway::start(folder, &agent, limits, GATEWAYS, ordinal);
+        let gateway = Gateway::start(folder, &agent, "pushed", GATEWAYS, ordinal);
         (agent, gateway)
     };
     let all: Vec<_> = (0..GATEWAYS).map(start).collect();
@@ -59,7 +59,7 @@
     const SUBMIT_WORK: Duration = Duration::from_millis(200);
     let arrivals = Arrivals::default();
     let servers = servers(SUBMIT_WORK, &arrivals);
-    let deployment = deployment(folder, &servers, MOST);
+    let deployment = deployment(folder, &servers);
     let address = deployment[0].1.address;
     let submit = || request("submit-test", TIME_MS, GATEWAYS, BODY_BYTES);
     let requests: Vec<Request> = (0..REQUESTS).map(|_| submit()).collect();
@@ -114,7 +114,7 @@
     const TERM_TO_KILL: Duration = Duration::from_millis(3800);
     let arrivals = Arrivals::default();
     let servers = servers(WORK, &arrivals);
-    let mut deployment = deployment(folder, &servers, MOST);
+    let mut deployment = deployment(folder, &servers);
     let address = deployment[0].1.address;
     let clients: Vec<_> = (0..CLIENTS)
         .map(|_| {
@@ -138,59 +138,6 @@
     lost == 0
 }
 
-/// Bad clients stop in the middle of a body and stay. Usual clients send a few requests at once meanwhile.
-pub fn bodies(folder: &Path) -> bool {
-    /// "For requests, clients hold at most a third of the descriptors": 85 of 256.
-    const BAD_CLIENTS: usize = 70;
-    const CLIENTS: usize = 10;
-    const ROUNDS: usize = 5;
-    const REQUESTS: usize = 5;
-    const TIME_MS: u64 = 3000;
-    let arrivals = Arrivals::default();
-    let servers = servers(WORK, &arrivals);
-    let deployment = deployment(folder, &servers, LEAST);
-    let address = deployment[0].1.address;
-    let stop: Arc<AtomicBool> = Arc::default();
-    if trouble() {
-        (0..BAD_CLIENTS).for_each(|_| start_half_bodies(address, &stop));
-        say(&format!("{BAD_CLIENTS} bad clients stop in the middle of a body"));
-    }
-    sleep(Duration::from_millis(500));
-    let rounds = move || -> Vec<Ending> {
-        let mut endings = Vec::new();
-        for _ in 0..ROUNDS {
-            let mut requests = vec![request("submit-test", TIME_MS, GATEWAYS, 2000)];
-            requests.extend((1..REQUESTS).map(|_| request("lookup", TIME_MS, GATEWAYS, 0)));
-            endings.extend(send_at_once(address, &requests, Duration::from_secs(10)));
-            sleep(Duration::from_millis(300));
-        }
-        endings
-    };
-    let clients: Vec<_> = (0..CLIENTS).map(|_| spawn(rounds)).collect();
-    let endings: Vec<Ending> = clients.into_iter().flat_map(|client| client.join().unwrap()).collect();
-    stop.store(true, Ordering::Relaxed);
-    let lost = lost(&endings, TIME_MS as f64 / 1000.0);
-    say(&format!("{} requests: {}", endings.len(), count_statuses(&endings)));
-    say(&format!("lost: {lost}"));
-    lost == 0
-}
-
-/// A bad client that sends a head and half of a body of 64 KiB, waits for its error or close, and does so again.
-fn start_half_bodies(address: SocketAddr, stop: &Arc<AtomicBool>) {
-    let stop = stop.clone();
-    spawn(move || {
-        while !stop.load(Ordering::Relaxed) {
-            let Ok(mut stream) = TcpStream::connect(address) else { continue };
-            let whole = request("submit-test", 6000, GATEWAYS, 64 * 1024).bytes;
-            let _ = stream.write_all(&whole[..whole.len() - 32 * 1024]);
-            let connected = now();
-            let _ = stream.read_to_end(&mut Vec::new());
-            record(&format!("a bad client was turned away after {:.3} s", now() - connected));
-            sleep(Duration::from_millis(20));
-        }
-    });
-}
-
 /// Sends to a server after `limit`, which is when they must have ended.
 fn sends_after(arrivals: &Arrivals, server: usize, limit: f64) -> bool {
     let all = arrivals.all();
@@ -208,7 +155,7 @@
     const OUTAGE: f64 = 8.0;
     let arrivals = Arrivals::default();
     let servers = servers(Duration::from_millis(20), &arrivals);
-    let mut deployment = deployment(folder, &servers, MOST);
+    let mut deployment = deployment(folder, &servers);
     let (agent, gateway) = &mut deployment[0];
     let stop = Arc::new(AtomicBool::new(false));
     start_load(gateway.address, 4, Duration::from_millis(60), GATEWAYS, &stop);
@@ -248,7 +195,7 @@
     const TOLD_AFTER: f64 = 4.0;
     let arrivals = Arrivals::default();
     let servers = servers(Duration::from_millis(20), &arrivals);
-    let mut deployment = deployment(folder, &servers, MOST);
+    let mut deployment = deployment(folder, &servers);
     let (agent, gateway) = &mut deployment[0];
     let stop = Arc::new(AtomicBool::new(false));
     start_load(gateway.address, 4, Duration::from_millis(60), GATEWAYS, &stop);
@@ -274,3 +221,33 @@
     record(&gateway.log());
     held
 }
+
+/// Discovery is asked for its list, and is so crowded that a call waits for its turn.
+pub fn slow_list(folder: &Path) -> bool {
+    /// So long that the gateway's watch of 1 s is answered 1.3 s after its wait is over.
+    const TURN: Duration = Duration::from_millis(2300);
+    /// "a change counts as told at the latest 6 s after discovery had it and could be reached"
+    const TOLD_AFTER: f64 = 6.0;
+    let arrivals = Arrivals::default();
+    let servers = servers(Duration::from_millis(20), &arrivals);
+    let discovery = Agent::start("discovery", &servers);
+    let start = |ordinal| Gateway::start(folder, &discovery, "on_request", GATEWAYS, ordinal);
+    let gateways: Vec<Gateway> = (0..GATEWAYS).map(start).collect();
+    gateways.iter().for_each(Gateway::wait_until_ready);
+    let stop = Arc::new(AtomicBool::new(false));
+    for gateway in &gateways {
+        start_load(gateway.address, 3, Duration::from_millis(60), GATEWAYS, &stop);
+    }
+    sleep(Duration::from_secs(2));
+    if trouble() {
+        discovery.set_turn(TURN);
+        sleep(Duration::from_secs(3));
+    }
+    discovery.drain(&servers[0]);
+    let told = now() + TOLD_AFTER;
+    sleep(Duration::from_secs(15));
+    stop.store(true, Ordering::Relaxed);
+    let held = sends_after(&arrivals, 0, told + DRAIN_GRACE + SOCKET_SLACK);
+    gateways.iter().for_each(|gateway| record(&gateway.log()));
+    held
+}
