Withdraw the old list in time when the discovery of a new configuration is silent

A list that the old discovery had confirmed stayed confirmed when it was no longer asked, though what the new one has counts 4 s after the signal.

Why this works: DiscoveryStatus::source_changed marks the list unconfirmed from 4 s after the signal on, or from an earlier time if it was unconfirmed before. If the file cannot be read within the 4 s, the old agent is asked again: where it still answers, nothing has moved, and otherwise the list is withdrawn in time.

Service goes on for over 4 s after the signal, and ends before 5 s (grace 1 s).

--- a/src/bin/brassport/discovery/mod.rs
+++ b/src/bin/brassport/discovery/mod.rs
@@ -7,6 +7,7 @@
 mod status;
 mod watch;
 
+use crate::reload::NOTICE_TIME;
 pub use list::{List, State, Target};
 pub use schedule::Service;
 use springusher::ListKind;
@@ -31,6 +32,23 @@
 }
 
 impl Source {
+    /// Moves to the discovery in a new configuration, which a signal announced at `announced_at`.
+    pub fn replace(&mut self, address: SocketAddr, announced_at: Instant) {
+        let moved = self.address != address;
+        self.notified_at = if moved { announced_at + NOTICE_TIME } else { announced_at };
+        self.address = address;
+        // Another discovery may number its revisions differently.
+        self.held_revision = None;
+    }
+
+    /// Asks a local agent again, as another one may have taken its place, of whose changes the gateway counts as notified
+    /// from now on. An agent that still answers has not been replaced.
+    pub fn ask_again(&mut self) {
+        if !matches!(self.service, Service::Shared { .. }) {
+            self.notified_at = Instant::now();
+        }
+    }
+
     /// Whether a watch on `other` is also one on this source, so that it can go on.
     fn continues(&self, other: &Source) -> bool {
         let is_local = !matches!(self.service, Service::Shared { .. });
--- a/src/bin/brassport/discovery/status.rs
+++ b/src/bin/brassport/discovery/status.rs
@@ -89,6 +89,17 @@
         self.validity.set(Validity::Confirmed);
     }
 
+    /// Records that another discovery is asked from now on. The gateway counts as notified at `notified_at` of what that
+    /// one has, and the list held is that of the one before.
+    pub fn source_changed(&self, notified_at: Instant) {
+        self.validity.set(match self.validity.get() {
+            Validity::Confirmed => Validity::UnconfirmedSince(notified_at),
+            Validity::UnconfirmedSince(since) => Validity::UnconfirmedSince(since.min(notified_at)),
+            Validity::Withdrawn => Validity::Withdrawn,
+        });
+        self.notify_changed();
+    }
+
     /// Records that the list held is no longer used.
     pub fn withdrawn(&self) {
         self.validity.set(Validity::Withdrawn);
--- a/src/bin/brassport/discovery/watch.rs
+++ b/src/bin/brassport/discovery/watch.rs
@@ -30,7 +30,8 @@
 /// that becomes unresponsive sends it no more. So each watch is confirmed by a call on a second connection, which the
 /// agent answers at once: with its answer no change from before the watch is missing, and later ones are written to the
 /// watch. Without it servers may be draining unnoticed, and after a fraction of the drain grace the list is withdrawn
-/// until discovery answers again. The same holds for the list in the configuration file.
+/// until discovery answers again. The same holds for a list that came from elsewhere: from the configuration file or
+/// from another discovery.
 pub struct Watcher {
     updates: UnboundedSender<Update>,
     schedule: RefCell<Schedule>,
@@ -66,7 +67,7 @@
             self.schedule.replace(Schedule::new(source.service, source.seed));
             let is_shared = self.schedule.borrow().is_shared();
             self.held_revision.set(source.held_revision.filter(|_| is_shared));
-            self.status.notify_changed();
+            self.status.source_changed(source.notified_at);
             tokio::select! {
                 () = self.watch(source.address) => {}
                 changed = self.wait_for_other_source(&mut sources, source) => if changed.is_err() { return },
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -32,6 +32,7 @@
 use discovery::{List, Source, Subscription, Update};
 use dispatcher::Dispatcher;
 use readiness::Readiness;
+use reload::Reload;
 use signals::{CaughtSignals, Signals};
 use springusher::{ListKind, Settings};
 use startup::{Prepared, START_TIMEOUT};
@@ -186,13 +187,13 @@
     let acceptor = Acceptor::new(listener, descriptors.clone(), listening_since);
     let mut serving = spawn_local(clients::serve(acceptor, context, descriptors));
 
-    spawn_local(reload::reload_on_hangup(hangups, move |config| {
-        source.send_modify(|source| {
-            // Another discovery may number its revisions differently.
-            let notified_at = Instant::now();
-            *source = Source { address: config.discovery, held_revision: None, notified_at, ..*source };
-        });
-        counter_address.send_if_modified(|held| std::mem::replace(held, config.counter) != config.counter);
+    spawn_local(reload::reload_on_hangup(hangups, move |reload| match reload {
+        Reload::Configured(config, hangup_at) => {
+            source.send_modify(|source| source.replace(config.discovery, hangup_at));
+            counter_address
+                .send_if_modified(|held| std::mem::replace(held, config.counter) != config.counter);
+        }
+        Reload::Overdue => source.send_modify(Source::ask_again),
     }));
     termination.requested().await;
     phase.send_replace(Phase::Leaving);
--- a/src/bin/brassport/reload.rs
+++ b/src/bin/brassport/reload.rs
@@ -3,34 +3,60 @@
 use crate::config::{self, Config, ConfigError, Precedence};
 use crate::log;
 use crate::retry::Backoff;
+use std::pin::pin;
+use std::time::Duration;
 use tokio::signal::unix::Signal;
-use tokio::time::sleep;
+use tokio::time::{sleep, sleep_until, Instant};
+
+/// How long after SIGHUP the gateway counts as notified of what the discovery in the new configuration has.
+pub const NOTICE_TIME: Duration = Duration::from_secs(4);
+
+/// What has become of a SIGHUP.
+pub enum Reload {
+    /// The new configuration, and when the signal arrived: the earliest one since the last configuration.
+    Configured(Box<Config>, Instant),
+    /// The configuration could not be read within `NOTICE_TIME`. It is still being read.
+    Overdue,
+}
 
 /// Reads the file after each signal, for as long as the process runs. An invalid file changes nothing. A file that cannot
 /// be read, or is still being written, is read again until it succeeds, as the old addresses are about to close.
-pub async fn reload_on_hangup(mut hangups: Signal, apply: impl Fn(Config)) {
+pub async fn reload_on_hangup(mut hangups: Signal, apply: impl Fn(Reload)) {
     while hangups.recv().await.is_some() {
-        let mut pauses = Backoff::new();
-        let mut reported = false;
-        loop {
-            let error = match config::read(|| Precedence::File).await {
-                Ok(config) => {
-                    apply(config);
-                    break;
-                }
-                Err(error) => error,
-            };
-            if !reported {
-                log::line(format!("not reloaded: {error}"));
-                reported = true;
-            }
-            if matches!(error, ConfigError::Invalid(_)) {
-                break;
-            }
-            tokio::select! {
-                () = sleep(pauses.next()) => {}
-                _ = hangups.recv() => reported = false,
+        let hangup_at = Instant::now();
+        let mut reading = pin!(read_complete(&mut hangups));
+        let config = tokio::select! {
+            config = &mut reading => config,
+            () = sleep_until(hangup_at + NOTICE_TIME) => {
+                apply(Reload::Overdue);
+                reading.await
             }
+        };
+        if let Some(config) = config {
+            apply(Reload::Configured(Box::new(config), hangup_at));
+        }
+    }
+}
+
+/// Reads the file until it is complete. Returns `None` if it is invalid.
+async fn read_complete(hangups: &mut Signal) -> Option<Config> {
+    let mut pauses = Backoff::new();
+    let mut reported = false;
+    loop {
+        let error = match config::read(|| Precedence::File).await {
+            Ok(config) => return Some(config),
+            Err(error) => error,
+        };
+        if !reported {
+            log::line(format!("not reloaded: {error}"));
+            reported = true;
+        }
+        if matches!(error, ConfigError::Invalid(_)) {
+            return None;
+        }
+        tokio::select! {
+            () = sleep(pauses.next()) => {}
+            _ = hangups.recv() => reported = false,
         }
     }
 }
--- a/tests/gateway_process/discovery.rs
+++ b/tests/gateway_process/discovery.rs
@@ -397,6 +397,80 @@
     }
 }
 
+// After SIGHUP the list of the old discovery stays in force for as long as the gateway does not count as notified of what
+// the new one has, which is 4 s and the drain grace. It stayed in force until the new one answered (review case 8: sends
+// up to 8 s after the signal, to a server that drained).
+#[test]
+fn after_a_reload_to_an_unresponsive_discovery_the_old_list_is_used_for_4_s_and_withdrawn_within_the_grace() {
+    let (backend, old, new) = (Peer::start(), Peer::start(), Peer::start());
+    let (gateway, mut config) = gateway_with_confirmed_watch(&backend, &old);
+    config["discovery"] = json!(new.address.to_string());
+    std::fs::write(&gateway.file, config.to_string()).expect("the file is replaced");
+    let signalled_at = Instant::now();
+    gateway.signal("-HUP");
+    new.next_request();
+    assert_used_for_4_s_and_part_of_the_grace(&gateway, backend, signalled_at);
+}
+
+// The same if the new configuration cannot be read: the old discovery does not answer any more, and the new one is not
+// known.
+#[test]
+fn after_a_reload_to_a_file_that_stays_incomplete_the_old_list_is_used_for_4_s_and_withdrawn_within_the_grace(
+) {
+    let (backend, old) = (Peer::start(), Peer::start());
+    let (gateway, config) = gateway_with_confirmed_watch(&backend, &old);
+    std::fs::write(&gateway.file, &config.to_string()[..99]).expect("the file is truncated");
+    let signalled_at = Instant::now();
+    gateway.signal("-HUP");
+    assert_used_for_4_s_and_part_of_the_grace(&gateway, backend, signalled_at);
+}
+
+// A signal that announces nothing, as the file is gone, must not end the service for want of a discovery.
+#[test]
+fn after_a_reload_to_a_file_that_is_missing_the_old_list_stays_in_force_while_the_old_discovery_answers() {
+    let (backend, agent) = (Peer::start(), Peer::start());
+    let (gateway, config) = gateway_with_confirmed_watch(&backend, &agent);
+    thread::spawn(move || {
+        while let Ok(call) = agent.exchanges.recv() {
+            call.answer_if_open(&config["known"].to_string());
+        }
+    });
+    std::fs::remove_file(&gateway.file).expect("the file is there");
+    gateway.signal("-HUP");
+    thread::sleep(Duration::from_millis(5500));
+    gateway.serves_from(&backend);
+}
+
+/// A gateway with one server and a drain grace of 1 s, whose agent has confirmed its watch and holds it open, and its
+/// configuration.
+fn gateway_with_confirmed_watch(backend: &Peer, agent: &Peer) -> (GatewayProcess, Value) {
+    let known = list(&[target("s-00000001", backend.address, "ready")]);
+    let mut config = config(agent.address, known.clone());
+    config["settings"]["rules"]["stopSendingWithin"] = json!(1000.0);
+    let gateway = GatewayProcess::start(&config);
+    agent.next_request().ok(&known.to_string());
+    std::mem::forget(agent.next_request());
+    agent.next_request().ok(&json!({"rev": 1, "all": false, "targets": []}).to_string());
+    (gateway, config)
+}
+
+/// Sends requests to a gateway with a drain grace of 1 s after it got SIGHUP, and checks until when it passes them on.
+fn assert_used_for_4_s_and_part_of_the_grace(gateway: &GatewayProcess, backend: Peer, signalled_at: Instant) {
+    let sent = answer_all(backend);
+    let mut client = gateway.client();
+    let mut last_sent_at = signalled_at;
+    while signalled_at.elapsed() < Duration::from_millis(5500) {
+        if client.send(&get("")).read().status() == 200 {
+            last_sent_at = Instant::now();
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    let used_for = last_sent_at - signalled_at;
+    assert!(used_for > Duration::from_secs(4), "withdrawn after {used_for:?}");
+    assert!(used_for < Duration::from_secs(5), "still used after {used_for:?}");
+    assert!(sent.load(Ordering::Relaxed) > 0);
+}
+
 // The cached list in the file of a new process may be older than what its agent has, which answers within milliseconds.
 #[test]
 fn the_cached_list_is_not_used_before_the_agents_first_answer() {
