Tests: replace a configuration file that an earlier process with the same id left

Evidence: the thread waits in wait_for_partner, and the pipe is older than the process. The file is removed before it is written.

--- a/tests/gateway_process/peers.rs
+++ b/tests/gateway_process/peers.rs
@@ -433,6 +433,8 @@
     let name =
         format!("gateway-config-{}-{}.json", std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    // An earlier process with the same id may have left a named pipe, which blocks a writer.
+    let _ = std::fs::remove_file(&path);
     std::fs::write(&path, config.to_string()).expect("the configuration is written");
     path
 }
