Let only a list end the wait of a start for its agent, not a call that failed

What callers saw: a gateway whose configuration is late refuses the first request (NoCapacity), though its agent answers.

Cause: clients are accepted after the first update of discovery, and a failed call was one. Calls that failed before the configuration was there were still queued, so that the wait ended at once.

Ruled out: a late list, as it had been answered before the request.

Why this works: Update::CallFailed is gone, and nothing else used it. The wait ends with a list, with its withdrawal, or after 250 ms.

--- a/src/bin/brassport/discovery/mod.rs
+++ b/src/bin/brassport/discovery/mod.rs
@@ -56,21 +56,19 @@
     }
 }
 
-/// What a call to discovery brought.
+/// A change to the list of servers.
 pub enum Update {
     /// The full list, or changes to the last one.
     List(ListKind, List),
     /// The list held may no longer be used: servers on it may have been draining for too long.
     Withdrawn,
-    /// The call failed; the list held stays valid.
-    CallFailed,
 }
 
 /// A running watch on the list of servers. Dropping `updates` ends it.
 pub struct Subscription {
     /// Sets another source, which is then asked for the list anew.
     pub source: latest::Sender<Source>,
-    /// The results of calls, in order.
+    /// The changes to the list, in order.
     pub updates: UnboundedReceiver<Update>,
 }
 
--- a/src/bin/brassport/discovery/watch.rs
+++ b/src/bin/brassport/discovery/watch.rs
@@ -85,7 +85,8 @@
         loop {
             sources.changed().await?;
             let source = *sources.borrow();
-            if !source.continues(&current) {
+            let is_watch_open = self.held_revision.get().is_some();
+            if !is_watch_open || !source.continues(&current) {
                 return Ok(());
             }
             self.schedule.replace(Schedule::new(source.service, source.seed));
@@ -116,7 +117,6 @@
                 CallOutcome::Failed(failure) => {
                     connections = Connections::default();
                     self.status.call_failed(failure);
-                    self.publish(Update::CallFailed);
                     self.held_revision
                         .set(self.held_revision.get().filter(|_| self.schedule.borrow().is_shared()));
                     self.pause(started).await;
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -120,7 +120,7 @@
     Duration::try_from_secs_f64(longest / 1000.0).unwrap_or(MAX_CLOSING_TIME).min(MAX_CLOSING_TIME)
 }
 
-/// Passes lists from discovery to the dispatcher, and signals `first_update` after the first call, even if it failed.
+/// Passes changes to the list of servers to the dispatcher, and signals `first_update` after the first one.
 async fn forward_updates(
     mut updates: UnboundedReceiver<Update>,
     dispatcher: Rc<Dispatcher>,
@@ -134,7 +134,6 @@
                 dispatcher.update_servers(kind, list);
                 readiness.list_received();
             }
-            Update::CallFailed => {}
             Update::Withdrawn => {
                 readiness.list_withdrawn();
                 dispatcher.update_servers(ListKind::Full, List::empty());
