Call a silent agent every 0.1 s, not one call after another

Cause: one call was open at a time. An agent never answers a call that it received while it was silent, so the gateway waited for the time-out of that call and the pause after it, up to 0.75 s with a grace of 1.87 s, and heard nothing of the return.

Evidence: the test's agent answers each call that arrives in the 0.2 s, and none does. Ruled out: the withdrawal, as the list had been confirmed before the first outage.

Why this works: calls to a silent agent overlap, each on a connection of its own, so that one begins within 0.1 s of any return (0.125 s where a call may take 1 s). The back-off of local agents is gone. Shared services are called as before.

Tests that took each call at an agent for the only one skip overlapping ones now (fresh_request, next_watch).

--- a/src/bin/brassport/discovery/schedule.rs
+++ b/src/bin/brassport/discovery/schedule.rs
@@ -13,12 +13,14 @@
 /// A gateway counts as notified of every change that its local agent has, whether or not the change arrived here. An
 /// agent that was unresponsive never answers a call that it received then, even if it is back a moment later. So each
 /// span in which a call may be lost is a fraction of the drain grace, the time within which sends to a draining server
-/// must stop: the wait of a watch, the time-out of an answer beyond that, and the first and the longest pause after a
-/// failed call.
+/// must stop: the wait of a watch, and the time-out of an answer beyond that.
 const AGENT_WAIT_FRACTION: f64 = 0.4;
 const AGENT_ANSWER_TIMEOUT_FRACTION: f64 = 0.2;
-const AGENT_FIRST_BACKOFF_FRACTION: f64 = 0.1;
-const AGENT_MAX_BACKOFF_FRACTION: f64 = 0.2;
+/// The least interval between two calls to an agent that does not answer, whether or not the earlier one has ended. An agent
+/// that answers for longer than the interval is heard.
+const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(100);
+/// Limit on the number of calls that are open at once at an agent that does not answer.
+const MAX_OPEN_PROBES: u32 = 8;
 /// The fraction of the drain grace for which the list may be used while the agent may have newer changes.
 const AGENT_UNCONFIRMED_FRACTION: f64 = 0.75;
 /// Lower limit of the drain grace for time-outs and pauses: with a shorter one, calls would keep the gateway busy.
@@ -57,57 +59,54 @@
 
 /// The time-outs of calls and the pauses after failed ones.
 pub struct Schedule {
-    rng: Rand32,
     /// How long discovery may hold a watch open when it has no changes.
     wait: Duration,
     /// The time-out of an answer, for a watch beyond `wait`.
     answer_timeout: Duration,
-    /// Upper limits of the first pause after failed calls, of every pause, and of the next one.
-    first_backoff: Duration,
-    max_backoff: Duration,
-    next_backoff: Duration,
-    /// Whether the service is shared, so that its capacity limits the calls.
-    shared: bool,
+    /// The interval between calls to a local agent that does not answer.
+    probe_interval: Duration,
+    /// The pauses after failed calls if the service is shared, so that its capacity limits the calls.
+    shared_backoff: Option<SharedBackoff>,
     max_unconfirmed: Option<Duration>,
 }
 
 impl Schedule {
     /// The schedule for that service; `seed` is for the jitter.
     pub fn new(service: Service, seed: u64) -> Schedule {
-        let rng = Rand32::new(seed);
         match service {
             Service::LocalAgent { drain_grace } => Schedule {
                 max_unconfirmed: Some(drain_grace.mul_f64(AGENT_UNCONFIRMED_FRACTION)),
-                ..Schedule::local_agent(drain_grace, rng)
+                ..Schedule::local_agent(drain_grace)
             },
-            Service::Unknown => Schedule::local_agent(MIN_DRAIN_GRACE, rng),
-            Service::Shared { gateways } => Schedule::shared(gateways, rng),
+            Service::Unknown => Schedule::local_agent(MIN_DRAIN_GRACE),
+            Service::Shared { gateways } => Schedule::shared(gateways, Rand32::new(seed)),
         }
     }
 
-    fn local_agent(drain_grace: Duration, rng: Rand32) -> Schedule {
+    fn local_agent(drain_grace: Duration) -> Schedule {
         let part = |fraction| drain_grace.max(MIN_DRAIN_GRACE).mul_f64(fraction).min(MAX_WATCH_WAIT);
+        let answer_timeout = part(AGENT_ANSWER_TIMEOUT_FRACTION);
         Schedule {
-            rng,
             wait: part(AGENT_WAIT_FRACTION),
-            answer_timeout: part(AGENT_ANSWER_TIMEOUT_FRACTION),
-            first_backoff: part(AGENT_FIRST_BACKOFF_FRACTION),
-            max_backoff: part(AGENT_MAX_BACKOFF_FRACTION),
-            next_backoff: part(AGENT_FIRST_BACKOFF_FRACTION),
-            shared: false,
+            answer_timeout,
+            probe_interval: MIN_PROBE_INTERVAL.max(answer_timeout / MAX_OPEN_PROBES),
+            shared_backoff: None,
             max_unconfirmed: None,
         }
     }
 
     fn shared(gateways: u32, rng: Rand32) -> Schedule {
+        let answer_timeout = (ANSWER_TIMEOUT + ANSWER_TIMEOUT_PER_GATEWAY * gateways).min(MAX_ANSWER_TIMEOUT);
         Schedule {
-            rng,
             wait: MAX_WATCH_WAIT,
-            answer_timeout: (ANSWER_TIMEOUT + ANSWER_TIMEOUT_PER_GATEWAY * gateways).min(MAX_ANSWER_TIMEOUT),
-            first_backoff: FIRST_BACKOFF_PER_GATEWAY * gateways,
-            max_backoff: MAX_BACKOFF_PER_GATEWAY * gateways,
-            next_backoff: FIRST_BACKOFF_PER_GATEWAY * gateways,
-            shared: true,
+            answer_timeout,
+            probe_interval: answer_timeout,
+            shared_backoff: Some(SharedBackoff {
+                rng,
+                first: FIRST_BACKOFF_PER_GATEWAY * gateways,
+                max: MAX_BACKOFF_PER_GATEWAY * gateways,
+                next: FIRST_BACKOFF_PER_GATEWAY * gateways,
+            }),
             max_unconfirmed: None,
         }
     }
@@ -119,7 +118,7 @@
 
     /// Whether one service answers all gateways, so that its capacity limits the calls.
     pub fn is_shared(&self) -> bool {
-        self.shared
+        self.shared_backoff.is_some()
     }
 
     /// How long the list may be used while the agent may have newer changes: only a fraction of the drain grace, as the
@@ -136,23 +135,50 @@
         }
     }
 
+    /// The interval between the starts of calls to a local agent that does not answer. Calls overlap: an agent that was
+    /// unresponsive when it received a call never answers that one, also if it is back a moment later.
+    pub fn probe_interval(&self) -> Duration {
+        self.probe_interval
+    }
+
+    /// The pause after a failed call that took `took`.
+    pub fn next_pause(&mut self, took: Duration) -> Duration {
+        match &mut self.shared_backoff {
+            Some(backoff) => backoff.next_pause(took),
+            None => self.probe_interval.saturating_sub(took),
+        }
+    }
+
+    /// Resets the back-off after an answer.
+    pub fn reset_backoff(&mut self) {
+        if let Some(backoff) = &mut self.shared_backoff {
+            backoff.next = backoff.first;
+        }
+    }
+}
+
+/// The pauses after failed calls to a shared service.
+struct SharedBackoff {
+    rng: Rand32,
+    /// Upper limits of the first pause after failed calls, of every pause, and of the next one.
+    first: Duration,
+    max: Duration,
+    next: Duration,
+}
+
+impl SharedBackoff {
     /// The pause after a failed call that took `took`. Jitter over the whole interval lets gateways fall out of step;
     /// where the back-off is cut to its limit, only the upper half of the interval is used, to spare the service.
-    pub fn next_pause(&mut self, took: Duration) -> Duration {
+    fn next_pause(&mut self, took: Duration) -> Duration {
         let limit = MAX_CALL_AND_BACKOFF.saturating_sub(took).max(BACKOFF_LIMIT_AFTER_TIMEOUT);
-        let (backoff, jitter) = (self.next_backoff, self.rng.rand_float());
-        self.next_backoff = (2 * backoff).min(self.max_backoff);
+        let (backoff, jitter) = (self.next, self.rng.rand_float());
+        self.next = (2 * backoff).min(self.max);
         if backoff <= limit {
             backoff.mul_f32(jitter)
         } else {
             limit.mul_f32((1.0 + jitter) / 2.0)
         }
     }
-
-    /// Resets the back-off after an answer.
-    pub fn reset_backoff(&mut self) {
-        self.next_backoff = self.first_backoff;
-    }
 }
 
 #[cfg(test)]
--- a/src/bin/brassport/discovery/watch.rs
+++ b/src/bin/brassport/discovery/watch.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch::{error::RecvError, Receiver};
+use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 /// Minimum time from the start of a watch to the start of the next one, so that an agent that answers every call at
@@ -117,8 +118,8 @@
                 CallOutcome::Failed(failure) => {
                     connections = Connections::default();
                     self.status.call_failed(failure);
-                    self.held_revision
-                        .set(self.held_revision.get().filter(|_| self.schedule.borrow().is_shared()));
+                    let is_shared = self.schedule.borrow().is_shared();
+                    self.held_revision.set(self.held_revision.get().filter(|_| is_shared));
                     self.pause(started).await;
                 }
             }
@@ -127,12 +128,16 @@
 
     /// Asks for the full list, or watches for changes after the revision held.
     async fn fetch(&self, connections: &mut Connections, address: SocketAddr) -> CallOutcome {
+        let is_shared = self.schedule.borrow().is_shared();
         let Some(after) = self.held_revision.get() else {
-            return self.call_in_time(&mut connections.list, address, Query::Full).await;
+            if is_shared {
+                return self.call_in_time(&mut connections.list, address, Query::Full).await;
+            }
+            return CallOutcome::List(self.probe(&mut connections.list, address).await);
         };
         let wait = self.schedule.borrow().watch_wait();
         let watch = self.call_in_time(&mut connections.list, address, Query::Watch { after, wait });
-        if self.schedule.borrow().is_shared() {
+        if is_shared {
             return watch.await;
         }
         tokio::select! {
@@ -142,6 +147,37 @@
         }
     }
 
+    /// Calls a local agent for the full list at short intervals, on a connection for each call, until it answers one of
+    /// them. A call that an unresponsive agent has received is never answered, so waiting for one before the next would
+    /// miss an agent that answers only for a moment, and with it changes that the gateway counts as notified of.
+    async fn probe(&self, kept_connection: &mut Option<HttpConnection>, address: SocketAddr) -> List {
+        let mut calls = JoinSet::new();
+        let mut next_call_at = Instant::now();
+        loop {
+            tokio::select! {
+                () = sleep_until(next_call_at) => {
+                    let schedule = self.schedule.borrow();
+                    next_call_at = Instant::now() + schedule.probe_interval();
+                    let call_timeout = schedule.call_timeout(Query::Full);
+                    calls.spawn_local(TimedCall::make(kept_connection.take(), address, Query::Full, call_timeout));
+                }
+                Some(Ok(ended)) = calls.join_next() => match ended.outcome {
+                    CallOutcome::List(list) => {
+                        *kept_connection = ended.connection;
+                        self.status.answered(list.rev);
+                        self.status.set_unconfirmed_since(ended.started);
+                        return list;
+                    }
+                    CallOutcome::LocalError => {
+                        next_call_at = next_call_at.min(Instant::now() + MIN_WATCH_INTERVAL);
+                    }
+                    CallOutcome::Busy => {}
+                    CallOutcome::Failed(failure) => self.status.call_failed(failure),
+                },
+            }
+        }
+    }
+
     /// Makes one call, and gives it up after its time-out, as an unresponsive agent never answers it.
     async fn call_in_time(
         &self,
@@ -149,18 +185,14 @@
         address: SocketAddr,
         query: Query,
     ) -> CallOutcome {
-        let started = Instant::now();
-        log::trace(SUBJECT, || format!("call to {address}: {}", query.path()));
         let call_timeout = self.schedule.borrow().call_timeout(query);
-        let outcome = timeout(call_timeout, call(connection, address, query)).await;
-        let outcome = outcome.unwrap_or(CallOutcome::Failed(CallFailure::TimedOut));
-        let took = started.elapsed();
-        log::trace(SUBJECT, || format!("after {:.1} ms: {outcome}", took.as_secs_f64() * 1000.0));
-        if let CallOutcome::List(list) = &outcome {
+        let ended = TimedCall::make(connection.take(), address, query, call_timeout).await;
+        *connection = ended.connection;
+        if let CallOutcome::List(list) = &ended.outcome {
             self.status.answered(list.rev);
-            self.status.set_unconfirmed_since(started + query.min_wait(list, took));
+            self.status.set_unconfirmed_since(ended.started + query.min_wait(list, ended.took));
         }
-        outcome
+        ended.outcome
     }
 
     /// Confirms the open watch and then never returns. Returns only if the confirming call fails.
@@ -246,6 +278,33 @@
     }
 }
 
+/// A call that has ended.
+struct TimedCall {
+    started: Instant,
+    took: Duration,
+    outcome: CallOutcome,
+    /// Can be used for the next call, if there is one.
+    connection: Option<HttpConnection>,
+}
+
+impl TimedCall {
+    /// Makes a call, and gives it up after `call_timeout`.
+    async fn make(
+        mut connection: Option<HttpConnection>,
+        address: SocketAddr,
+        query: Query,
+        call_timeout: Duration,
+    ) -> TimedCall {
+        let started = Instant::now();
+        log::trace(SUBJECT, || format!("call to {address}: {}", query.path()));
+        let outcome = timeout(call_timeout, call(&mut connection, address, query)).await;
+        let outcome = outcome.unwrap_or(CallOutcome::Failed(CallFailure::TimedOut));
+        let took = started.elapsed();
+        log::trace(SUBJECT, || format!("after {:.1} ms: {outcome}", took.as_secs_f64() * 1000.0));
+        TimedCall { started, took, outcome, connection }
+    }
+}
+
 /// The open connections to discovery.
 #[derive(Default)]
 struct Connections {
--- a/tests/gateway_process/discovery.rs
+++ b/tests/gateway_process/discovery.rs
@@ -74,14 +74,14 @@
     assert_eq!(client.read().status(), 200);
     call.wait_for_close();
     // An answer that is not a valid list is ignored; the list held stays valid.
-    discovery.next_request().ok("{\"rev\":");
-    let call = discovery.next_request();
+    fresh_request(&discovery).ok("{\"rev\":");
+    let call = fresh_request(&discovery);
     assert_eq!(call.request.line, "GET /v1/servers HTTP/1.1");
     client.send(&get(""));
     backend.next_request().ok("served");
     assert_eq!(client.read().status(), 200);
     call.ok(&list(&[]).to_string());
-    assert_eq!(discovery.next_request().request.line, "GET /v1/servers?after=1&wait_ms=1000 HTTP/1.1");
+    assert_eq!(next_watch(&discovery).request.line, "GET /v1/servers?after=1&wait_ms=1000 HTTP/1.1");
     assert_eq!(client.send(&get("")).read().status(), 429, "no backend is left");
 }
 
@@ -107,7 +107,7 @@
     backend.next_request().ok("served");
     assert_eq!(client.read().status(), 200);
     call.ok(&list(&[]).to_string());
-    assert_eq!(agent.next_request().request.line, "GET /v1/servers?after=1&wait_ms=1000 HTTP/1.1");
+    assert_eq!(next_watch(&agent).request.line, "GET /v1/servers?after=1&wait_ms=1000 HTTP/1.1");
     assert_eq!(client.send(&get("")).read().status(), 429, "no backend is left");
 }
 
@@ -160,7 +160,7 @@
     for _ in 0..2 {
         gateway.signal("-HUP");
         old.wait_for_close();
-        old = second.next_request();
+        old = fresh_request(&second);
         assert_eq!(old.request.line, "GET /v1/servers HTTP/1.1");
     }
     let moved = Peer::start();
@@ -193,7 +193,7 @@
         slow.stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{").expect("a part goes out");
         slow.wait_for_close();
         let targets = [target("s-00000002", new.address, "ready")];
-        agent.next_request().ok(&list(&targets).to_string());
+        fresh_request(&agent).ok(&list(&targets).to_string());
         agent.next_request();
         let mut client = gateway.client();
         client.send(&get(""));
--- a/tests/gateway_process/peers.rs
+++ b/tests/gateway_process/peers.rs
@@ -230,6 +230,27 @@
     }
 }
 
+/// The next call that arrives at an agent from now on. Calls to an agent that does not answer overlap, so earlier ones may be
+/// about to time out.
+pub fn fresh_request(agent: &Peer) -> Exchange {
+    while let Ok(earlier) = agent.exchanges.try_recv() {
+        std::mem::forget(earlier);
+    }
+    agent.next_request()
+}
+
+/// The next watch at an agent. Calls for the full list that were made before the agent answered one of them may arrive first;
+/// they stay open without an answer.
+pub fn next_watch(agent: &Peer) -> Exchange {
+    loop {
+        let call = next_list_call(agent);
+        if call.request.line != "GET /v1/servers HTTP/1.1" {
+            return call;
+        }
+        std::mem::forget(call);
+    }
+}
+
 /// An address where nothing listens while the tests run.
 pub fn closed_port() -> SocketAddr {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
