Tests: one set-up for gateways with a short grace; calls to discovery move to call.rs

Six tests repeated the same configuration, three the same answering agent, and three files the same request for the health. No behaviour changes.

--- a/src/bin/brassport/discovery/call.rs
+++ b/src/bin/brassport/discovery/call.rs
@@ -3,6 +3,7 @@
 use super::list::List;
 use super::status::CallFailure;
 use crate::http_connection::HttpConnection;
+use crate::log;
 use crate::retry;
 use http_body_util::Full;
 use hyper::header::HOST;
@@ -10,7 +11,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 /// The time-out for opening a connection, which is short as the agent is on this machine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -18,6 +19,9 @@
 /// allocated only as data arrives, and a service that sends more is not discovery.
 const MAX_LIST_SIZE: usize = 16 << 20;
 
+/// The subject of trace lines.
+pub const SUBJECT: &str = "discovery";
+
 /// What a call asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Query {
@@ -98,3 +102,30 @@
         Err(_) => CallOutcome::Failed(CallFailure::Broken),
     }
 }
+
+/// A call that has ended.
+pub struct TimedCall {
+    pub started: Instant,
+    pub took: Duration,
+    pub outcome: CallOutcome,
+    /// Can be used for the next call, if there is one.
+    pub connection: Option<HttpConnection>,
+}
+
+impl TimedCall {
+    /// Makes a call, and gives it up after `call_timeout`.
+    pub async fn make(
+        mut connection: Option<HttpConnection>,
+        address: SocketAddr,
+        query: Query,
+        call_timeout: Duration,
+    ) -> TimedCall {
+        let started = Instant::now();
+        log::trace(SUBJECT, || format!("call to {address}: {}", query.path()));
+        let outcome = timeout(call_timeout, call(&mut connection, address, query)).await;
+        let outcome = outcome.unwrap_or(CallOutcome::Failed(CallFailure::TimedOut));
+        let took = started.elapsed();
+        log::trace(SUBJECT, || format!("after {:.1} ms: {outcome}", took.as_secs_f64() * 1000.0));
+        TimedCall { started, took, outcome, connection }
+    }
+}
--- a/src/bin/brassport/discovery/watch.rs
+++ b/src/bin/brassport/discovery/watch.rs
@@ -1,6 +1,6 @@
 //! The watch on discovery.
 
-use super::call::{call, CallOutcome, Query};
+use super::call::{call, CallOutcome, Query, TimedCall, SUBJECT};
 use super::list::List;
 use super::schedule::Schedule;
 use super::status::{CallFailure, DiscoveryStatus};
@@ -15,15 +15,13 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch::{error::RecvError, Receiver};
 use tokio::task::JoinSet;
-use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
 /// Minimum time from the start of a watch to the start of the next one, so that an agent that answers every call at
 /// once does not keep the gateway busy. Also the pause after a call that this machine could not start.
 const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(20);
 /// Time from the start of a watch to the call that confirms it. The agent has to have received the watch by then.
 const CONFIRMATION_DELAY: Duration = Duration::from_millis(5);
-/// The subject of trace lines.
-const SUBJECT: &str = "discovery";
 
 /// Follows the list of servers.
 ///
@@ -278,33 +276,6 @@
     }
 }
 
-/// A call that has ended.
-struct TimedCall {
-    started: Instant,
-    took: Duration,
-    outcome: CallOutcome,
-    /// Can be used for the next call, if there is one.
-    connection: Option<HttpConnection>,
-}
-
-impl TimedCall {
-    /// Makes a call, and gives it up after `call_timeout`.
-    async fn make(
-        mut connection: Option<HttpConnection>,
-        address: SocketAddr,
-        query: Query,
-        call_timeout: Duration,
-    ) -> TimedCall {
-        let started = Instant::now();
-        log::trace(SUBJECT, || format!("call to {address}: {}", query.path()));
-        let outcome = timeout(call_timeout, call(&mut connection, address, query)).await;
-        let outcome = outcome.unwrap_or(CallOutcome::Failed(CallFailure::TimedOut));
-        let took = started.elapsed();
-        log::trace(SUBJECT, || format!("after {:.1} ms: {outcome}", took.as_secs_f64() * 1000.0));
-        TimedCall { started, took, outcome, connection }
-    }
-}
-
 /// The open connections to discovery.
 #[derive(Default)]
 struct Connections {
--- a/tests/gateway_process/clients.rs
+++ b/tests/gateway_process/clients.rs
@@ -88,8 +88,7 @@
     drop(gone);
     last.send(&post("last"));
     // Both have been admitted when a request that arrived after them is answered.
-    let health_check = "GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n";
-    assert_eq!(gateway.client().send(health_check).read().status(), 200);
+    assert_eq!(gateway.client().send(HEALTH_CHECK).read().status(), 200);
     first_exchange.ok("");
     assert_eq!(first.read().status(), 200);
     let next = backend.next_request();
--- a/tests/gateway_process/discovery.rs
+++ b/tests/gateway_process/discovery.rs
@@ -4,6 +4,7 @@
 use serde_json::{json, Value};
 use std::io::BufRead;
 use std::io::{BufReader, Write};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Stdio;
 use std::sync::atomic::Ordering;
@@ -15,10 +16,9 @@
     let discovery = Discovery::start(list(&[]));
     let backend = Peer::start();
     let gateway = GatewayProcess::start(&config(discovery.address, list(&[])));
-    let health_check = "GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n";
-    assert_eq!(gateway.client().send(health_check).read().status(), 503);
+    assert_eq!(gateway.client().send(HEALTH_CHECK).read().status(), 503);
     discovery.push_targets(json!([target("s-00000001", backend.address, "ready")]));
-    assert_eq!(gateway.client().send(health_check).read().status(), 200);
+    assert_eq!(gateway.client().send(HEALTH_CHECK).read().status(), 200);
 }
 
 #[test]
@@ -238,11 +238,27 @@
     assert!(line.ends_with(" s without an answer"), "{line}");
 }
 
+/// A configuration with a drain grace of 1 s.
+fn config_with_short_grace(agent: SocketAddr, known: Value) -> Value {
+    let mut config = config(agent, known);
+    config["settings"]["rules"]["stopSendingWithin"] = json!(1000.0);
+    config
+}
+
+/// Answers all calls to an agent with the same list.
+fn answer_with_list(agent: Peer, list: Value) {
+    thread::spawn(move || {
+        while let Ok(call) = agent.exchanges.recv() {
+            // Calls that arrived while the agent was unresponsive may have been given up.
+            call.answer_if_open(&list.to_string());
+        }
+    });
+}
+
 /// A gateway with one server and a drain grace of 1 s, and the open watch of its agent, which has sent it the list.
 fn gateway_with_open_watch(backend: &Peer, agent: &Peer) -> (GatewayProcess, Exchange) {
     let known = list(&[target("s-00000001", backend.address, "ready")]);
-    let mut config = config(agent.address, known.clone());
-    config["settings"]["rules"]["stopSendingWithin"] = json!(1000.0);
+    let config = config_with_short_grace(agent.address, known.clone());
     let gateway = GatewayProcess::start(&config);
     agent.next_request().ok(&known.to_string());
     let watch = agent.next_request();
@@ -272,14 +288,7 @@
     thread::sleep(Duration::from_millis(1000));
     let mut client = gateway.client();
     assert_eq!(client.send(&get("")).read().status(), 429, "nothing is sent");
-    let known = list(&[target("s-00000001", backend.address, "ready")]).to_string();
-    thread::spawn(move || {
-        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{known}", known.len());
-        while let Ok(mut call) = agent.exchanges.recv() {
-            // Calls that arrived while the agent was unresponsive may have been given up.
-            let _ = call.stream.write_all(answer.as_bytes());
-        }
-    });
+    answer_with_list(agent, list(&[target("s-00000001", backend.address, "ready")]));
     answer_all(backend);
     let until = Instant::now() + TEST_TIMEOUT;
     while client.send(&get("")).read().status() != 200 {
@@ -295,8 +304,7 @@
 fn a_drain_received_while_the_configuration_file_is_incomplete_is_obeyed_though_the_agent_stops_answering() {
     let (backend, agent) = (Peer::start(), Peer::start());
     let known = list(&[target("s-00000001", backend.address, "ready")]);
-    let mut config = config(agent.address, known.clone());
-    config["settings"]["rules"]["stopSendingWithin"] = json!(1000.0);
+    let config = config_with_short_grace(agent.address, known.clone());
     let file = write_config(&config);
     std::fs::write(&file, &config.to_string()[..99]).expect("the file is truncated");
     let starting = StartingGateway::spawn(&file, &config);
@@ -321,8 +329,7 @@
     backend: &Peer,
     agent: &Peer,
 ) -> (StartingGateway, Value, PathBuf, Exchange) {
-    let mut config = config(agent.address, list(&[]));
-    config["settings"]["rules"]["stopSendingWithin"] = json!(1000.0);
+    let config = config_with_short_grace(agent.address, list(&[]));
     let file = write_config(&config);
     std::fs::write(&file, &config.to_string()[..99]).expect("the file is truncated");
     let starting = StartingGateway::spawn(&file, &config);
@@ -353,8 +360,7 @@
     thread::sleep(Duration::from_millis(1200));
     std::fs::write(&file, config.to_string()).expect("the file is completed");
     let gateway = starting.listening(&config, file);
-    let health_check = "GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n";
-    assert_eq!(gateway.client().send(health_check).read().status(), 200);
+    assert_eq!(gateway.client().send(HEALTH_CHECK).read().status(), 200);
     let sent = answer_all(backend);
     assert_eq!(gateway.client().send(&get("")).read().status(), 429);
     assert_eq!(sent.load(Ordering::Relaxed), 0, "a request was sent by a list that was not confirmed");
@@ -367,10 +373,8 @@
 fn a_start_while_the_agent_is_unresponsive_stops_sending_by_the_list_in_its_file_within_the_drain_grace() {
     let (backend, agent) = (Peer::start(), Peer::start());
     let known = list(&[target("s-00000001", backend.address, "ready")]);
-    let mut config = config(agent.address, known.clone());
-    config["settings"]["rules"]["stopSendingWithin"] = json!(1000.0);
+    let config = config_with_short_grace(agent.address, known.clone());
     let gateway = GatewayProcess::start(&config);
-    let health_check = "GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n";
     thread::sleep(Duration::from_millis(1050));
     let sent = answer_all(backend);
     let mut client = gateway.client();
@@ -379,19 +383,15 @@
     }
     assert_eq!(sent.load(Ordering::Relaxed), 0, "of 10 requests were sent by a list that was not confirmed");
     assert_eq!(
-        client.send(health_check).read().status(),
+        client.send(HEALTH_CHECK).read().status(),
         200,
         "an outage of discovery does not fail the start"
     );
     let mut drained = list(&[target("s-00000001", closed_port(), "draining")]);
     drained["rev"] = json!(2);
-    thread::spawn(move || {
-        while let Ok(call) = agent.exchanges.recv() {
-            call.answer_if_open(&drained.to_string());
-        }
-    });
+    answer_with_list(agent, drained);
     let until = Instant::now() + TEST_TIMEOUT;
-    while client.send(health_check).read().status() != 503 {
+    while client.send(HEALTH_CHECK).read().status() != 503 {
         assert!(Instant::now() < until, "the agent's answer, by which no server is ready, has no effect");
         thread::sleep(Duration::from_millis(20));
     }
@@ -430,11 +430,7 @@
 fn after_a_reload_to_a_file_that_is_missing_the_old_list_stays_in_force_while_the_old_discovery_answers() {
     let (backend, agent) = (Peer::start(), Peer::start());
     let (gateway, config) = gateway_with_confirmed_watch(&backend, &agent);
-    thread::spawn(move || {
-        while let Ok(call) = agent.exchanges.recv() {
-            call.answer_if_open(&config["known"].to_string());
-        }
-    });
+    answer_with_list(agent, config["known"].clone());
     std::fs::remove_file(&gateway.file).expect("the file is there");
     gateway.signal("-HUP");
     thread::sleep(Duration::from_millis(5500));
@@ -445,8 +441,7 @@
 /// configuration.
 fn gateway_with_confirmed_watch(backend: &Peer, agent: &Peer) -> (GatewayProcess, Value) {
     let known = list(&[target("s-00000001", backend.address, "ready")]);
-    let mut config = config(agent.address, known.clone());
-    config["settings"]["rules"]["stopSendingWithin"] = json!(1000.0);
+    let config = config_with_short_grace(agent.address, known.clone());
     let gateway = GatewayProcess::start(&config);
     agent.next_request().ok(&known.to_string());
     std::mem::forget(agent.next_request());
@@ -497,8 +492,7 @@
 fn a_drain_that_the_agent_receives_between_two_watches_is_obeyed_though_it_becomes_unresponsive() {
     let (backend, agent) = (Peer::start(), Peer::start());
     let known = list(&[target("s-00000001", backend.address, "ready")]);
-    let mut config = config(agent.address, known.clone());
-    config["settings"]["rules"]["stopSendingWithin"] = json!(1000.0);
+    let config = config_with_short_grace(agent.address, known.clone());
     let gateway = GatewayProcess::start(&config);
     agent.next_request().ok(&known.to_string());
     let watch = agent.next_request();
--- a/tests/gateway_process/peers.rs
+++ b/tests/gateway_process/peers.rs
@@ -17,6 +17,9 @@
 /// Time limit for waits in these tests. A wait that succeeds never takes this long.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// A request for the health of the gateway.
+pub const HEALTH_CHECK: &str = "GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n";
+
 /// One HTTP message: its first line, headers (names in lower case) and body.
 pub struct Message {
     pub line: String,
--- a/tests/gateway_process/shutdown.rs
+++ b/tests/gateway_process/shutdown.rs
@@ -60,8 +60,7 @@
 /// Waits until the gateway has received the signal: its health check fails from then on.
 fn wait_until_unhealthy(gateway: &GatewayProcess) {
     let until = Instant::now() + TEST_TIMEOUT;
-    let health_check = "GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n";
-    while gateway.client().send(health_check).read().status() == 200 {
+    while gateway.client().send(HEALTH_CHECK).read().status() == 200 {
         assert!(Instant::now() < until, "the signal has no effect");
     }
 }
