Let a start wait for its agent's list also if its own is withdrawn before it serves

A gateway whose file is late counts its list as unconfirmed from the start of the process, so it is withdrawn at once, and the withdrawal ended the wait for the agent's first list. A first request was refused, though the agent's answer was milliseconds away.

Why this works: only a list ends the wait, or 250 ms. Nothing is sent in either case.

--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -47,7 +47,7 @@
 
 /// How long a start waits for the agent's first answer before it serves clients. An agent that is up answers at once;
 /// without its answer the cached list is used, which may be stale.
-const FIRST_UPDATE_TIMEOUT: Duration = Duration::from_millis(250);
+const FIRST_LIST_TIMEOUT: Duration = Duration::from_millis(250);
 /// The bodies of all requests together may take the memory limit divided by this.
 const BODY_MEMORY_DIVISOR: usize = 8;
 /// How long the listener stays open at least after SIGTERM, as clients still connect for up to 0.4 s.
@@ -120,28 +120,28 @@
     Duration::try_from_secs_f64(longest / 1000.0).unwrap_or(MAX_CLOSING_TIME).min(MAX_CLOSING_TIME)
 }
 
-/// Passes changes to the list of servers to the dispatcher, and signals `first_update` after the first one.
+/// Passes changes to the list of servers to the dispatcher, and signals `first_list` after the first list.
 async fn forward_updates(
     mut updates: UnboundedReceiver<Update>,
     dispatcher: Rc<Dispatcher>,
     readiness: Rc<Readiness>,
-    first_update: oneshot::Sender<()>,
+    first_list: oneshot::Sender<()>,
 ) {
-    let mut first_update = Some(first_update);
+    let mut first_list = Some(first_list);
     while let Some(update) = updates.recv().await {
         match update {
             Update::List(kind, list) => {
                 dispatcher.update_servers(kind, list);
                 readiness.list_received();
+                if let Some(first_list) = first_list.take() {
+                    let _ = first_list.send(());
+                }
             }
             Update::Withdrawn => {
                 readiness.list_withdrawn();
                 dispatcher.update_servers(ListKind::Full, List::empty());
             }
         }
-        if let Some(first_update) = first_update.take() {
-            let _ = first_update.send(());
-        }
     }
 }
 
@@ -162,9 +162,9 @@
     dispatcher.update_servers(ListKind::Cached, config.cached_list);
     spawn_local(dispatcher.clone().run_timers());
     let Subscription { source, updates } = discovery;
-    let (first_update_sender, first_update) = oneshot::channel();
+    let (first_list_sender, first_list) = oneshot::channel();
     let readiness = Rc::new(Readiness::new(backends.clone()));
-    spawn_local(forward_updates(updates, dispatcher.clone(), readiness.clone(), first_update_sender));
+    spawn_local(forward_updates(updates, dispatcher.clone(), readiness.clone(), first_list_sender));
     let idle_backends = backends.clone();
     spawn_local(async move { idle_backends.close_stale_connections().await });
 
@@ -180,7 +180,7 @@
     });
     // Until the first answer the cached list may be older than what the agent has.
     if has_local_agent {
-        let _ = timeout(FIRST_UPDATE_TIMEOUT, first_update).await;
+        let _ = timeout(FIRST_LIST_TIMEOUT, first_list).await;
     }
     readiness.serving_began();
     let acceptor = Acceptor::new(listener, descriptors.clone(), listening_since);
--- a/tests/gateway_process/discovery.rs
+++ b/tests/gateway_process/discovery.rs
@@ -366,6 +366,27 @@
     assert_eq!(sent.load(Ordering::Relaxed), 0, "a request was sent by a list that was not confirmed");
 }
 
+// The list of a file that is late is withdrawn at once, which is no answer of the agent: a gateway that accepted clients then
+// would refuse their first requests, though its agent answers.
+#[test]
+fn a_start_whose_list_is_withdrawn_before_it_serves_waits_for_the_agents_list() {
+    let (backend, agent) = (Peer::start(), Peer::start());
+    let known = list(&[target("s-00000001", backend.address, "ready")]);
+    let config = config_with_short_grace(agent.address, known.clone());
+    let file = write_config(&config);
+    std::fs::write(&file, &config.to_string()[..99]).expect("the file is truncated");
+    let starting = StartingGateway::spawn(&file, &config);
+    thread::sleep(Duration::from_millis(1200));
+    std::fs::write(&file, config.to_string()).expect("the file is completed");
+    let gateway = starting.listening(&config, file);
+    let mut client = gateway.client();
+    client.send(&get(""));
+    thread::sleep(Duration::from_millis(100));
+    answer_with_list(agent, known);
+    backend.next_request().ok("served");
+    assert_eq!(client.read().status(), 200);
+}
+
 // The agent has a drain that the list in the configuration file lacks, and does not answer from before the start of the
 // process on. The gateway counts as notified from its start on, but went on sending to the server until the agent answered
 // again (review case 10: sends 6.4 s after the drain grace).
