Do not restart the watch on a shared service when a reload is overdue

What callers saw: none yet; found in the review of the change. With one service for all gateways, a SIGHUP whose file stays unreadable for 4 s made each gateway ask that service again for all changes since the revision of its first configuration.

Cause: Source::ask_again leaves a shared source as it is, but send_modify announces a change all the same, and the watch began anew at the source's revision.

Evidence: the new test fails without the change ("after=1" where "after=5" is due).

Why this works: ask_again says whether it changed the source, and only a change is announced.

--- a/src/bin/brassport/discovery/mod.rs
+++ b/src/bin/brassport/discovery/mod.rs
@@ -42,17 +42,19 @@
     }
 
     /// Asks a local agent again, as another one may have taken its place, of whose changes the gateway counts as notified
-    /// from now on. An agent that still answers has not been replaced.
-    pub fn ask_again(&mut self) {
-        if !matches!(self.service, Service::Shared { .. }) {
+    /// from now on. An agent that still answers has not been replaced. Returns false for a shared service, whose list is
+    /// never withdrawn.
+    pub fn ask_again(&mut self) -> bool {
+        let is_local = !self.service.is_shared();
+        if is_local {
             self.notified_at = Instant::now();
         }
+        is_local
     }
 
     /// Whether a watch on `other` is also one on this source, so that it can go on.
     fn continues(&self, other: &Source) -> bool {
-        let is_local = !matches!(self.service, Service::Shared { .. });
-        is_local && self.address == other.address && self.notified_at == other.notified_at
+        !self.service.is_shared() && self.address == other.address && self.notified_at == other.notified_at
     }
 }
 
--- a/src/bin/brassport/discovery/schedule.rs
+++ b/src/bin/brassport/discovery/schedule.rs
@@ -57,6 +57,13 @@
     Shared { gateways: u32 },
 }
 
+impl Service {
+    /// Whether one service answers all gateways.
+    pub fn is_shared(&self) -> bool {
+        matches!(self, Service::Shared { .. })
+    }
+}
+
 /// The time-outs of calls and the pauses after failed ones.
 pub struct Schedule {
     /// How long discovery may hold a watch open when it has no changes.
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -192,7 +192,9 @@
             counter_address
                 .send_if_modified(|held| std::mem::replace(held, config.counter) != config.counter);
         }
-        Reload::Overdue => source.send_modify(Source::ask_again),
+        Reload::Overdue => {
+            source.send_if_modified(Source::ask_again);
+        }
     }));
     termination.requested().await;
     phase.send_replace(Phase::Leaving);
--- a/tests/gateway_process/discovery.rs
+++ b/tests/gateway_process/discovery.rs
@@ -458,6 +458,26 @@
     gateway.serves_from(&backend);
 }
 
+// A shared service is not asked anew for want of a configuration: the watch was restarted at the revision of the first
+// configuration, so that the service had to send all changes since again.
+#[test]
+fn a_reload_to_a_file_that_stays_incomplete_does_not_restart_the_watch_on_a_shared_service() {
+    let (backend, service) = (Peer::start(), Peer::start());
+    let mut config = config(service.address, list(&[target("s-00000001", backend.address, "ready")]));
+    config["settings"]["registryMode"] = json!("on_request");
+    let gateway = GatewayProcess::start(&config);
+    service.next_request().ok(&json!({"rev": 5, "all": false, "targets": []}).to_string());
+    std::fs::write(&gateway.file, &config.to_string()[..99]).expect("the file is truncated");
+    gateway.signal("-HUP");
+    let signalled_at = Instant::now();
+    while signalled_at.elapsed() < Duration::from_millis(5500) {
+        if let Ok(call) = service.exchanges.recv_timeout(Duration::from_millis(100)) {
+            assert_eq!(call.request.line, "GET /v1/servers?after=5&wait_ms=1000 HTTP/1.1");
+            std::mem::forget(call);
+        }
+    }
+}
+
 /// A gateway with one server and a drain grace of 1 s, whose agent has confirmed its watch and holds it open, and its
 /// configuration.
 fn gateway_with_confirmed_watch(backend: &Peer, agent: &Peer) -> (GatewayProcess, Value) {
