Discovery: one type for what follows a failed call, one record of an answer

Schedule held a probe interval for shared services that nothing used, and a back-off that was absent for local agents; the two are variants of one type now. Every caller of DiscoveryStatus::answered also set the time from which changes may be missing, so it takes that time. The notice time of a reload belongs to discovery, which applies it. No behaviour changes.

--- a/src/bin/brassport/discovery/mod.rs
+++ b/src/bin/brassport/discovery/mod.rs
@@ -7,17 +7,20 @@
 mod status;
 mod watch;
 
-use crate::reload::NOTICE_TIME;
 pub use list::{List, State, Target};
 pub use schedule::Service;
 use springusher::ListKind;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
 use tokio::sync::watch as latest;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use watch::Watcher;
 
+/// How long after SIGHUP the gateway counts as notified of what the discovery in the new configuration has.
+pub const RELOAD_NOTICE: Duration = Duration::from_secs(4);
+
 /// The address of discovery, and how it is called.
 #[derive(Debug, Clone, Copy)]
 pub struct Source {
@@ -35,7 +38,7 @@
     /// Moves to the discovery in a new configuration, which a signal announced at `announced_at`.
     pub fn replace(&mut self, address: SocketAddr, announced_at: Instant) {
         let moved = self.address != address;
-        self.notified_at = if moved { announced_at + NOTICE_TIME } else { announced_at };
+        self.notified_at = if moved { announced_at + RELOAD_NOTICE } else { announced_at };
         self.address = address;
         // Another discovery may number its revisions differently.
         self.held_revision = None;
--- a/src/bin/brassport/discovery/schedule.rs
+++ b/src/bin/brassport/discovery/schedule.rs
@@ -70,13 +70,18 @@
     wait: Duration,
     /// The time-out of an answer, for a watch beyond `wait`.
     answer_timeout: Duration,
-    /// The interval between calls to a local agent that does not answer.
-    probe_interval: Duration,
-    /// The pauses after failed calls if the service is shared, so that its capacity limits the calls.
-    shared_backoff: Option<SharedBackoff>,
+    retries: Retries,
     max_unconfirmed: Option<Duration>,
 }
 
+/// What follows a call that gets no answer.
+enum Retries {
+    /// A local agent is called at this interval, whether or not the earlier calls have ended.
+    Probes(Duration),
+    /// A shared service, whose capacity limits the calls, is called again after a pause.
+    Backoff(SharedBackoff),
+}
+
 impl Schedule {
     /// The schedule for that service; `seed` is for the jitter.
     pub fn new(service: Service, seed: u64) -> Schedule {
@@ -96,19 +101,16 @@
         Schedule {
             wait: part(AGENT_WAIT_FRACTION),
             answer_timeout,
-            probe_interval: MIN_PROBE_INTERVAL.max(answer_timeout / MAX_OPEN_PROBES),
-            shared_backoff: None,
+            retries: Retries::Probes(MIN_PROBE_INTERVAL.max(answer_timeout / MAX_OPEN_PROBES)),
             max_unconfirmed: None,
         }
     }
 
     fn shared(gateways: u32, rng: Rand32) -> Schedule {
-        let answer_timeout = (ANSWER_TIMEOUT + ANSWER_TIMEOUT_PER_GATEWAY * gateways).min(MAX_ANSWER_TIMEOUT);
         Schedule {
             wait: MAX_WATCH_WAIT,
-            answer_timeout,
-            probe_interval: answer_timeout,
-            shared_backoff: Some(SharedBackoff {
+            answer_timeout: (ANSWER_TIMEOUT + ANSWER_TIMEOUT_PER_GATEWAY * gateways).min(MAX_ANSWER_TIMEOUT),
+            retries: Retries::Backoff(SharedBackoff {
                 rng,
                 first: FIRST_BACKOFF_PER_GATEWAY * gateways,
                 max: MAX_BACKOFF_PER_GATEWAY * gateways,
@@ -125,7 +127,7 @@
 
     /// Whether one service answers all gateways, so that its capacity limits the calls.
     pub fn is_shared(&self) -> bool {
-        self.shared_backoff.is_some()
+        matches!(self.retries, Retries::Backoff(_))
     }
 
     /// How long the list may be used while the agent may have newer changes: only a fraction of the drain grace, as the
@@ -142,23 +144,27 @@
         }
     }
 
-    /// The interval between the starts of calls to a local agent that does not answer. Calls overlap: an agent that was
-    /// unresponsive when it received a call never answers that one, also if it is back a moment later.
-    pub fn probe_interval(&self) -> Duration {
-        self.probe_interval
+    /// The interval between the starts of calls to a local agent that does not answer; `None` for a shared service. Calls
+    /// overlap: an agent that was unresponsive when it received a call never answers that one, also if it is back a moment
+    /// later.
+    pub fn probe_interval(&self) -> Option<Duration> {
+        match self.retries {
+            Retries::Probes(interval) => Some(interval),
+            Retries::Backoff(_) => None,
+        }
     }
 
     /// The pause after a failed call that took `took`.
     pub fn next_pause(&mut self, took: Duration) -> Duration {
-        match &mut self.shared_backoff {
-            Some(backoff) => backoff.next_pause(took),
-            None => self.probe_interval.saturating_sub(took),
+        match &mut self.retries {
+            Retries::Probes(interval) => interval.saturating_sub(took),
+            Retries::Backoff(backoff) => backoff.next_pause(took),
         }
     }
 
     /// Resets the back-off after an answer.
     pub fn reset_backoff(&mut self) {
-        if let Some(backoff) = &mut self.shared_backoff {
+        if let Retries::Backoff(backoff) = &mut self.retries {
             backoff.next = backoff.first;
         }
     }
--- a/src/bin/brassport/discovery/status.rs
+++ b/src/bin/brassport/discovery/status.rs
@@ -65,8 +65,9 @@
         }
     }
 
-    /// Records an answer, and logs it if discovery was lost before.
-    pub fn answered(&self, revision: u64) {
+    /// Records an answer that was written no earlier than `written`, and logs it if discovery was lost before. Changes that
+    /// discovery received later may be missing until the next watch is confirmed.
+    pub fn answered(&self, revision: u64, written: Instant) {
         let silence = self.last_answer.replace(Instant::now()).elapsed().as_secs_f64();
         if self.lost.take() {
             log::line(format!(
@@ -74,11 +75,6 @@
             ));
         }
         self.revision.set(Some(revision));
-    }
-
-    /// Records that the last answer was written no earlier than `written`: changes that discovery received later may be
-    /// missing until the next watch is confirmed.
-    pub fn set_unconfirmed_since(&self, written: Instant) {
         self.validity.set(Validity::UnconfirmedSince(written));
         self.notify_changed();
     }
--- a/src/bin/brassport/discovery/watch.rs
+++ b/src/bin/brassport/discovery/watch.rs
@@ -126,16 +126,18 @@
 
     /// Asks for the full list, or watches for changes after the revision held.
     async fn fetch(&self, connections: &mut Connections, address: SocketAddr) -> CallOutcome {
-        let is_shared = self.schedule.borrow().is_shared();
+        let probe_interval = self.schedule.borrow().probe_interval();
         let Some(after) = self.held_revision.get() else {
-            if is_shared {
-                return self.call_in_time(&mut connections.list, address, Query::Full).await;
-            }
-            return CallOutcome::List(self.probe(&mut connections.list, address).await);
+            return match probe_interval {
+                Some(interval) => {
+                    CallOutcome::List(self.probe(&mut connections.list, address, interval).await)
+                }
+                None => self.call_in_time(&mut connections.list, address, Query::Full).await,
+            };
         };
         let wait = self.schedule.borrow().watch_wait();
         let watch = self.call_in_time(&mut connections.list, address, Query::Watch { after, wait });
-        if is_shared {
+        if self.schedule.borrow().is_shared() {
             return watch.await;
         }
         tokio::select! {
@@ -148,22 +150,25 @@
     /// Calls a local agent for the full list at short intervals, on a connection for each call, until it answers one of
     /// them. A call that an unresponsive agent has received is never answered, so waiting for one before the next would
     /// miss an agent that answers only for a moment, and with it changes that the gateway counts as notified of.
-    async fn probe(&self, kept_connection: &mut Option<HttpConnection>, address: SocketAddr) -> List {
+    async fn probe(
+        &self,
+        kept_connection: &mut Option<HttpConnection>,
+        address: SocketAddr,
+        interval: Duration,
+    ) -> List {
+        let call_timeout = self.schedule.borrow().call_timeout(Query::Full);
         let mut calls = JoinSet::new();
         let mut next_call_at = Instant::now();
         loop {
             tokio::select! {
                 () = sleep_until(next_call_at) => {
-                    let schedule = self.schedule.borrow();
-                    next_call_at = Instant::now() + schedule.probe_interval();
-                    let call_timeout = schedule.call_timeout(Query::Full);
+                    next_call_at = Instant::now() + interval;
                     calls.spawn_local(TimedCall::make(kept_connection.take(), address, Query::Full, call_timeout));
                 }
                 Some(Ok(ended)) = calls.join_next() => match ended.outcome {
                     CallOutcome::List(list) => {
                         *kept_connection = ended.connection;
-                        self.status.answered(list.rev);
-                        self.status.set_unconfirmed_since(ended.started);
+                        self.status.answered(list.rev, ended.started);
                         return list;
                     }
                     CallOutcome::LocalError => {
@@ -187,8 +192,7 @@
         let ended = TimedCall::make(connection.take(), address, query, call_timeout).await;
         *connection = ended.connection;
         if let CallOutcome::List(list) = &ended.outcome {
-            self.status.answered(list.rev);
-            self.status.set_unconfirmed_since(ended.started + query.min_wait(list, ended.took));
+            self.status.answered(list.rev, ended.started + query.min_wait(list, ended.took));
         }
         ended.outcome
     }
--- a/src/bin/brassport/reload.rs
+++ b/src/bin/brassport/reload.rs
@@ -1,21 +1,18 @@
 //! SIGHUP: reads the configuration again and applies the settings that can change at runtime.
 
 use crate::config::{self, Config, ConfigError, Precedence};
+use crate::discovery::RELOAD_NOTICE;
 use crate::log;
 use crate::retry::Backoff;
 use std::pin::pin;
-use std::time::Duration;
 use tokio::signal::unix::Signal;
 use tokio::time::{sleep, sleep_until, Instant};
 
-/// How long after SIGHUP the gateway counts as notified of what the discovery in the new configuration has.
-pub const NOTICE_TIME: Duration = Duration::from_secs(4);
-
 /// What has become of a SIGHUP.
 pub enum Reload {
     /// The new configuration, and when the signal arrived: the earliest one since the last configuration.
     Configured(Box<Config>, Instant),
-    /// The configuration could not be read within `NOTICE_TIME`. It is still being read.
+    /// The configuration could not be read within `RELOAD_NOTICE`. It is still being read.
     Overdue,
 }
 
@@ -27,7 +24,7 @@
         let mut reading = pin!(read_complete(&mut hangups));
         let config = tokio::select! {
             config = &mut reading => config,
-            () = sleep_until(hangup_at + NOTICE_TIME) => {
+            () = sleep_until(hangup_at + RELOAD_NOTICE) => {
                 apply(Reload::Overdue);
                 reading.await
             }
