--- a/tests/gateway_process/discovery.rs
+++ b/tests/gateway_process/discovery.rs
@@ -282,7 +282,7 @@
 /// The same with a watch that the agent has confirmed.
 fn gateway_with_confirmed_watch(backend: &Peer, agent: &Peer) -> (GatewayProcess, Value, Exchange) {
     let (gateway, config, watch) = gateway_with_open_watch(backend, agent);
-    let confirmation = agent.next_request();
+    let confirmation = next_call_for_changes(agent);
     assert_eq!(confirmation.request.line, "GET /v1/servers?after=1&wait_ms=0 HTTP/1.1");
     confirmation.ok(&no_changes());
     (gateway, config, watch)
@@ -340,17 +340,25 @@
     assert_eq!(sent.load(Ordering::Relaxed), 0, "of 10 requests were sent to a draining server");
 }
 
-/// A gateway with a drain grace of 1 s whose configuration file is incomplete, and the open watch of its agent, which has
-/// sent it a list with one server. The list in the file is empty.
-fn starting_gateway_with_open_watch(
-    backend: &Peer,
-    agent: &Peer,
-) -> (StartingGateway, Value, PathBuf, Exchange) {
-    let config = config_with_short_grace(agent.address, list(&[]));
-    let (starting, file) = start_with_truncated_file(&config);
-    agent.next_request().ok(&list(&[target("s-00000001", backend.address, "ready")]).to_string());
-    let watch = next_watch(agent);
-    (starting, config, file, watch)
+/// Answers an agent's calls for the full list, and the call that confirms a watch, and none after that. A confirmation that may
+/// come too late for its watch, which lasts 0.15 s while the configuration is not known, does not count.
+fn answer_until_confirmed(agent: &Peer, list: &Value) {
+    const TIMELY: Duration = Duration::from_millis(50);
+    let mut watch_opened = None;
+    loop {
+        let call = agent.next_request();
+        if call.request.line == "GET /v1/servers HTTP/1.1" {
+            call.answer_if_open(&list.to_string());
+        } else if call.request.line.contains("&wait_ms=0 ") {
+            call.answer_if_open(&no_changes());
+            if watch_opened.is_some_and(|opened: Instant| opened.elapsed() < TIMELY) {
+                return;
+            }
+        } else {
+            watch_opened = Some(Instant::now());
+            std::mem::forget(call);
+        }
+    }
 }
 
 // A list that arrives while the file is incomplete is confirmed as any other: if the file interrupted its watch, the agent
@@ -358,8 +366,9 @@
 #[test]
 fn a_list_received_while_the_configuration_file_is_incomplete_is_used_after_the_agent_becomes_unresponsive() {
     let (backend, agent) = (Peer::start(), Peer::start());
-    let (starting, config, file, _watch) = starting_gateway_with_open_watch(&backend, &agent);
-    agent.next_request().ok(&no_changes());
+    let config = config_with_short_grace(agent.address, list(&[]));
+    let (starting, file) = start_with_truncated_file(&config);
+    answer_until_confirmed(&agent, &list(&[target("s-00000001", backend.address, "ready")]));
     std::fs::write(&file, config.to_string()).expect("the file is completed");
     let gateway = starting.listening(&config, file);
     thread::sleep(Duration::from_millis(1500));
@@ -371,7 +380,10 @@
 #[test]
 fn a_start_whose_list_is_never_confirmed_becomes_ready_and_sends_nothing_after_the_drain_grace() {
     let (backend, agent) = (Peer::start(), Peer::start());
-    let (starting, config, file, _watch) = starting_gateway_with_open_watch(&backend, &agent);
+    let config = config_with_short_grace(agent.address, list(&[]));
+    let (starting, file) = start_with_truncated_file(&config);
+    agent.next_request().ok(&list(&[target("s-00000001", backend.address, "ready")]).to_string());
+    let _watch = next_watch(&agent);
     thread::sleep(Duration::from_millis(1200));
     std::fs::write(&file, config.to_string()).expect("the file is completed");
     let gateway = starting.listening(&config, file);
--- a/tests/gateway_process/peers.rs
+++ b/tests/gateway_process/peers.rs
@@ -242,11 +242,11 @@
     agent.next_request()
 }
 
-/// The next watch at an agent. Calls for the full list that were made before the agent answered one of them may arrive first;
-/// they stay open without an answer.
-pub fn next_watch(agent: &Peer) -> Exchange {
+/// The next call to an agent for changes. Calls for the full list overlap, and each connection is read on a thread of its own,
+/// so those that were made before the agent answered one of them may still come; they stay open without an answer.
+pub fn next_call_for_changes(agent: &Peer) -> Exchange {
     loop {
-        let call = next_list_call(agent);
+        let call = agent.next_request();
         if call.request.line != "GET /v1/servers HTTP/1.1" {
             return call;
         }
@@ -254,6 +254,17 @@
     }
 }
 
+/// The next watch at an agent. Calls that only confirm one stay open without an answer.
+pub fn next_watch(agent: &Peer) -> Exchange {
+    loop {
+        let call = next_call_for_changes(agent);
+        if !call.request.line.contains("&wait_ms=0 ") {
+            return call;
+        }
+        std::mem::forget(call);
+    }
+}
+
 /// An address where nothing listens while the tests run.
 pub fn closed_port() -> SocketAddr {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
