Soak: a request on a closed connection is not lost because its copy was passed on

Request 6133 was written to a kept connection and, as one that is sent twice, to a second one.

The attempt is that of the copy.

The oracle excuses such a close only if the request had no attempt, which says nothing of a request that is sent twice. The client records whether the connection was closed before it wrote, and only then, and only for a request that is sent twice, attempts do not count against the excuse. The other three cases stay Lost in the new test, which fails without the change. is_closed serves the client and discovery from one place.

--- a/fault-soak/src/client.rs
+++ b/fault-soak/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::event_log::{BadClient, ConnectionUse, EventLog, Millis, Outcome, RequestId, RequestRecord};
 use crate::gateway::{Availability, Gateway};
-use crate::http::{ReadError, Reader};
+use crate::http::{is_closed, ReadError, Reader};
 use crate::proxy::reset_on_close;
 use crate::server::is_served_body;
 use crate::site::{Site, ALL_PLANS_SHARE, CUSTOMERS_PER_PLAN, PLANS};
@@ -219,6 +219,7 @@
             connection_use,
             port: 0,
             sent_twice: behaviour == Behaviour::TwoConnections,
+            closed_before_sent: false,
             sent_at: self.event_log.now(),
             client_timeout,
             previous_response_at: 0.0,
@@ -269,9 +270,10 @@
         }
         let now = self.event_log.now();
         let port = reader.stream.local_addr().map_or(0, |address| address.port());
+        let closed_before_sent = is_closed(&reader.stream);
         self.event_log.with(|records| {
             for draft in &drafts {
-                let record = RequestRecord { sent_at: now, port, ..draft.record.clone() };
+                let record = RequestRecord { sent_at: now, port, closed_before_sent, ..draft.record.clone() };
                 records.requests.insert(draft.id, record);
             }
         });
--- a/fault-soak/src/discovery.rs
+++ b/fault-soak/src/discovery.rs
@@ -3,7 +3,7 @@
 //! small fragments.
 
 use crate::event_log::{EventLog, Millis, RemovalNotice, StartNotice};
-use crate::http::{Message, Reader};
+use crate::http::{is_closed, Message, Reader};
 use crate::listener::listen;
 use crate::proxy::reset_on_close;
 use crate::site::zone_name;
@@ -11,7 +11,6 @@
 use std::collections::{BTreeMap, HashSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -386,16 +385,3 @@
         Some((list, revision))
     }
 }
-
-/// Whether the peer has closed the connection.
-fn is_closed(stream: &TcpStream) -> bool {
-    let mut byte = [0];
-    let mut buffer = tokio::io::ReadBuf::new(&mut byte);
-    let mut context = Context::from_waker(Waker::noop());
-    let peeked = stream.poll_peek(&mut context, &mut buffer);
-    match peeked {
-        Poll::Ready(Ok(count)) => count == 0,
-        Poll::Ready(Err(_)) => true,
-        Poll::Pending => false,
-    }
-}
--- a/fault-soak/src/event_log.rs
+++ b/fault-soak/src/event_log.rs
@@ -73,6 +73,8 @@
     /// Whether the client sent the same bytes on a second connection as well. The gateway treats the two as
     /// separate requests.
     pub sent_twice: bool,
+    /// Whether the gateway had closed the connection before the request was written to it.
+    pub closed_before_sent: bool,
     /// When its last byte was passed to the operating system.
     pub sent_at: Millis,
     /// How long the client waits for the response, as sent in `X-Deadline`.
--- a/fault-soak/src/http.rs
+++ b/fault-soak/src/http.rs
@@ -1,7 +1,9 @@
 //! The part of HTTP/1.1 that the stand-ins need. Waiting for the first byte of a message lets them record when it began.
 
 use std::io;
-use tokio::io::{AsyncRead, AsyncReadExt};
+use std::task::{Context, Poll, Waker};
+use tokio::io::{AsyncRead, AsyncReadExt, ReadBuf};
+use tokio::net::TcpStream;
 
 /// The largest head of a message, in bytes.
 const MAX_HEAD_SIZE: usize = 64 * 1024;
@@ -110,3 +112,16 @@
         Ok(Message { start_line, headers, body })
     }
 }
+
+/// Whether the peer has closed the connection.
+pub fn is_closed(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    let mut buffer = ReadBuf::new(&mut byte);
+    let mut context = Context::from_waker(Waker::noop());
+    let peeked = stream.poll_peek(&mut context, &mut buffer);
+    match peeked {
+        Poll::Ready(Ok(count)) => count == 0,
+        Poll::Ready(Err(_)) => true,
+        Poll::Pending => false,
+    }
+}
--- a/fault-soak/src/invariants.rs
+++ b/fault-soak/src/invariants.rs
@@ -171,8 +171,10 @@
             Some((_, at)) if self.excused_by_kill(request, *at) => {}
             Some((Outcome::NoResponse, at)) => broken(Rule::Lost, *at, "no response"),
             Some((Outcome::Closed { reset }, at)) => {
+                // The attempts of a request that was sent twice are those of its copy if this connection was closed before.
+                let unread = attempts.is_empty() || (request.sent_twice && request.closed_before_sent);
                 let crossing = request.connection_use != ConnectionUse::New
-                    && attempts.is_empty()
+                    && unread
                     && (*reset || *at <= request.sent_at + CROSSING_CLOSE + self.slack);
                 if !crossing {
                     broken(Rule::Lost, *at, "connection closed without a response");
--- a/fault-soak/tests/oracle.rs
+++ b/fault-soak/tests/oracle.rs
@@ -27,6 +27,7 @@
         connection_use: ConnectionUse::New,
         port: 0,
         sent_twice: false,
+        closed_before_sent: false,
         sent_at: 1000.0,
         client_timeout: 1000.0,
         previous_response_at: 0.0,
@@ -107,6 +108,21 @@
     );
 }
 
+// Wide seed 93215: the connection was closed 0.43 s before the request was written to it, and its copy on another
+// connection was passed on, which counted as a lost request.
+#[test]
+fn a_request_on_a_closed_connection_is_not_lost_because_its_copy_was_passed_on() {
+    let mut crossed = request(Semantics::Keyed);
+    crossed.connection_use = ConnectionUse::Reused;
+    crossed.outcome = Some((Outcome::Closed { reset: false }, 1000.2));
+    for (sent_twice, closed_before_sent) in [(false, false), (false, true), (true, false)] {
+        (crossed.sent_twice, crossed.closed_before_sent) = (sent_twice, closed_before_sent);
+        assert_eq!(broken(&records(crossed.clone(), vec![attempt(1010.0)])), [Rule::Lost]);
+    }
+    (crossed.sent_twice, crossed.closed_before_sent) = (true, true);
+    assert_eq!(broken(&records(crossed, vec![attempt(1010.0)])), []);
+}
+
 #[test]
 fn responses_must_match_what_servers_did() {
     let mut foreign = request(Semantics::Idempotent);
