--- a/fault-soak/src/discovery.rs
+++ b/fault-soak/src/discovery.rs
@@ -209,7 +209,10 @@
                 self.event_log.with(|records| records.start_notices.push(notice));
             }
         }
-        for entry in history[from..to].iter().filter(|entry| entry.state != State::Ready) {
+        for (index, entry) in history.iter().enumerate().take(to).skip(from) {
+            if entry.state == State::Ready {
+                continue;
+            }
             let server = entry.uid.clone();
             self.event_log.with(|records| {
                 let same = |notice: &RemovalNotice| notice.gateway == gateway && notice.server == server;
@@ -217,6 +220,7 @@
                     records.removal_notices.push(RemovalNotice {
                         gateway,
                         server: server.clone(),
+                        revision: index + 1,
                         notified_at,
                     });
                 }
--- a/fault-soak/src/event_log.rs
+++ b/fault-soak/src/event_log.rs
@@ -133,7 +133,9 @@
     pub gateway: usize,
     /// The server's uid.
     pub server: String,
-    /// From when on the gateway counts as notified.
+    /// The revision of the server list that first has the change.
+    pub revision: usize,
+    /// From when on the gateway counts as notified, if its process runs then; a later process does from its start on.
     pub notified_at: Millis,
 }
 
@@ -164,6 +166,8 @@
 pub struct Incarnation {
     /// When the process was started.
     pub started_at: Millis,
+    /// The revision of the server list in its configuration.
+    pub list_revision: usize,
     /// Whether its log goes to a pipe that is never read.
     pub log_unread: bool,
     /// When it first answered `GET /healthz` with 200.
--- a/fault-soak/src/gateway.rs
+++ b/fault-soak/src/gateway.rs
@@ -212,6 +212,7 @@
         let mut child = command.spawn().expect("the gateway's executable can be started");
         let incarnation = Incarnation {
             started_at: self.event_log.now(),
+            list_revision: peers.known_servers["rev"].as_u64().unwrap_or_default() as usize,
             log_unread,
             ready_at: None,
             term_sent_at: None,
--- a/fault-soak/src/injection.rs
+++ b/fault-soak/src/injection.rs
@@ -3,7 +3,7 @@
 use crate::client::open_idle_connections;
 use crate::counter::CounterBehaviour;
 use crate::discovery::State;
-use crate::gateway::{Gateway, LogTarget};
+use crate::gateway::{Gateway, LogTarget, PeerConfig};
 use crate::proxy::ProxyFaults;
 use crate::run::{join_all, millis, ProxiedCounter, Rig};
 use crate::scenario::{Fault, ScheduledFault, ServerFault, BURST_CLIENTS};
@@ -17,6 +17,10 @@
 
 /// The longest delay until an agent receives a change of the server list.
 const MAX_LIST_DELAY: Duration = Duration::from_millis(700);
+/// The time from the start of a drain to an outage of discovery: all agents have received the drain by then.
+const DRAIN_BEFORE_OUTAGE: Duration = Duration::from_millis(900);
+/// The time from the start of an outage to the start of a gateway in it.
+const OUTAGE_BEFORE_START: Duration = Duration::from_millis(100);
 /// How long a replaced server drains before it is removed.
 const DRAIN_DURATION: Duration = Duration::from_millis(2500);
 /// The pause between new configurations in a row.
@@ -94,6 +98,9 @@
                 self.restart(&gateways, StopMode::Graceful, StartMode::Normal).await
             }
             Fault::Kill(gateways) => self.restart(&gateways, StopMode::Kill, StartMode::Normal).await,
+            Fault::RestartInOutage { gateways, drained } => {
+                self.restart_in_outage(&gateways, drained, duration).await
+            }
             Fault::SignalSeries(gateways) => {
                 self.restart(&gateways, StopMode::SignalSeries, StartMode::RepeatedSighup).await;
             }
@@ -223,6 +230,36 @@
         join_all(restarts).await;
     }
 
+    async fn restart_in_outage(self: &Arc<Self>, gateways: &[usize], drained: usize, outage: Duration) {
+        let mut tasks = tokio::task::JoinSet::new();
+        for gateway in gateways {
+            let (rig, gateway) = (self.clone(), self.gateways[*gateway].clone());
+            tasks.spawn(async move { rig.kill_and_start_with_old_list(&gateway).await });
+        }
+        for _ in 0..drained {
+            let rig = self.clone();
+            tasks.spawn(async move { rig.replace(1).await });
+        }
+        sleep(DRAIN_BEFORE_OUTAGE).await;
+        self.discovery.change_behaviour(|behaviour| behaviour.down = true);
+        sleep(outage).await;
+        self.discovery.change_behaviour(|behaviour| behaviour.down = false);
+        join_all(tasks).await;
+    }
+
+    /// Starts the gateway again with the list that its agent had before servers began to drain.
+    async fn kill_and_start_with_old_list(&self, gateway: &Arc<Gateway>) {
+        let Ok(_restarting) = gateway.restarting.try_lock() else { return };
+        if gateway.availability().is_none() {
+            return;
+        }
+        let known_servers = self.discovery.list(gateway.index);
+        gateway.kill().await;
+        sleep(DRAIN_BEFORE_OUTAGE + OUTAGE_BEFORE_START).await;
+        let peers = PeerConfig { known_servers, ..self.peers(gateway.index) };
+        self.start_with_peers(gateway, StartMode::Normal, &peers).await;
+    }
+
     async fn pause(&self, gateways: &[usize], duration: Duration) {
         let rounds = duration.as_millis() / PAUSE_PERIOD.as_millis();
         let mut ticks = interval(PAUSE_PERIOD);
@@ -382,18 +419,21 @@
 
     /// Starts a gateway in the given way and waits until it is ready.
     pub(crate) async fn start_as(&self, gateway: &Arc<Gateway>, start: StartMode) {
-        let peers = self.peers(gateway.index);
+        self.start_with_peers(gateway, start, &self.peers(gateway.index)).await;
+    }
+
+    async fn start_with_peers(&self, gateway: &Arc<Gateway>, start: StartMode, peers: &PeerConfig) {
         let log = if start == StartMode::UnreadLog { LogTarget::UnreadPipe } else { LogTarget::File };
         let rewriting = if start == StartMode::TruncatedConfig {
-            let rewriting = gateway.configure_in_place(&self.site, &peers, TRUNCATED_AT_START);
+            let rewriting = gateway.configure_in_place(&self.site, peers, TRUNCATED_AT_START);
             Some(tokio::spawn(rewriting))
         } else {
-            gateway.configure(&self.site, &peers);
+            gateway.configure(&self.site, peers);
             None
         };
         let signals = (start == StartMode::RepeatedSighup)
             .then(|| tokio::spawn(send_sighups_at_start(gateway.clone())));
-        if !gateway.start(&peers, log).await {
+        if !gateway.start(peers, log).await {
             self.event_log.add_to_timeline(format!("gateway {} was not ready within 30 s", gateway.index));
         }
         for task in [rewriting, signals].into_iter().flatten() {
--- a/fault-soak/src/invariants.rs
+++ b/fault-soak/src/invariants.rs
@@ -1,8 +1,8 @@
 //! The test oracle: checks the rules of the service on the records of a finished run.
 
 use crate::event_log::{
-    AttemptRecord, ColdStart, ConnectionUse, Incarnation, Millis, Outcome, Records, RequestId, RequestRecord,
-    Semantics,
+    AttemptRecord, ColdStart, ConnectionUse, Incarnation, Millis, Outcome, Records, RemovalNotice, RequestId,
+    RequestRecord, Semantics,
 };
 use crate::site::{Plan, Site, CEILING_DEPTH, CEILING_RATE, CEILING_TOLERANCE, PLANS};
 use std::collections::HashMap;
@@ -242,21 +242,32 @@
         }
     }
 
+    /// From when on the process that a request was sent to counts as notified of a removal. What its configuration lacks is
+    /// what its agent tells it, from the start of the process on.
+    fn notified_at(&self, request: &RequestRecord, notice: &RemovalNotice) -> Millis {
+        match self.incarnation(request.gateway, request.incarnation) {
+            Some(incarnation) if incarnation.list_revision < notice.revision => {
+                notice.notified_at.max(incarnation.started_at)
+            }
+            _ => notice.notified_at,
+        }
+    }
+
     fn check_sends_to_drained(&self, found: &mut Vec<Violation>) {
-        let notified: HashMap<(usize, &str), Millis> = self
+        let notices: HashMap<(usize, &str), &RemovalNotice> = self
             .records
             .removal_notices
             .iter()
-            .map(|notice| ((notice.gateway, notice.server.as_str()), notice.notified_at))
+            .map(|notice| ((notice.gateway, notice.server.as_str()), notice))
             .collect();
         for attempt in &self.records.attempts {
             let Some(request) = attempt.request.and_then(|id| self.records.requests.get(&id)) else {
                 continue;
             };
-            let Some(notified_at) = notified.get(&(request.gateway, attempt.server.as_str())) else {
+            let Some(notice) = notices.get(&(request.gateway, attempt.server.as_str())) else {
                 continue;
             };
-            let late = attempt.first_byte_at - notified_at;
+            let late = attempt.first_byte_at - self.notified_at(request, notice);
             if late > self.site.drain_grace + SOCKET_SLACK + self.slack {
                 let text =
                     format!("sent {late:.0} ms after the gateway was notified; {request:?}; {attempt:?}");
--- a/fault-soak/src/main.rs
+++ b/fault-soak/src/main.rs
@@ -38,6 +38,9 @@
     /// that would have no effect.
     #[arg(long)]
     hard: bool,
+    /// The share of faults that are replaced by restarts in an outage of discovery, with lists from before it.
+    #[arg(long, default_value_t = 0.0)]
+    restarts_in_outages: f64,
     /// The folder for configurations, logs and control files.
     #[arg(long, default_value = "target/fault-soak")]
     folder: PathBuf,
@@ -83,7 +86,8 @@
             (false, true) => Scenario::draw_wide,
             (false, false) => Scenario::draw_dense,
         };
-        let scenario = draw(seed, arguments.gateways, arguments.seconds * 1000.0, arguments.density);
+        let scenario = draw(seed, arguments.gateways, arguments.seconds * 1000.0, arguments.density)
+            .with_restarts_in_outages(arguments.restarts_in_outages);
         let report = run_scenario(scenario, &paths).await?;
         print_report(&report, arguments);
         broken += usize::from(!report.violations.is_empty());
--- a/fault-soak/src/scenario.rs
+++ b/fault-soak/src/scenario.rs
@@ -37,6 +37,14 @@
     Terminate(Vec<usize>),
     /// Gateways get SIGKILL and start again.
     Kill(Vec<usize>),
+    /// Gateways get SIGKILL, servers begin to drain, and then discovery stops answering. The gateways start again while it
+    /// does not answer, with configurations whose list is from before the drains.
+    RestartInOutage {
+        /// The gateways.
+        gateways: Vec<usize>,
+        /// How many servers drain and are replaced.
+        drained: usize,
+    },
     /// Gateways are paused with SIGSTOP for a moment, repeatedly.
     Pause(Vec<usize>),
     /// A new configuration moves discovery to a new address; reading it may fail at first.
@@ -89,6 +97,7 @@
             | Fault::UnreadLog(gateways)
             | Fault::Terminate(gateways)
             | Fault::Kill(gateways)
+            | Fault::RestartInOutage { gateways, .. }
             | Fault::Pause(gateways)
             | Fault::ReloadAndTerminate(gateways)
             | Fault::Syscalls(gateways, _)
@@ -322,6 +331,22 @@
     }
 }
 
+impl Scenario {
+    /// Replaces each fault with the probability `share` by a restart in an outage of discovery. Which seeds of the other
+    /// draws have which faults stays as it is.
+    pub fn with_restarts_in_outages(mut self, share: f64) -> Scenario {
+        let mut rng = Rng(Rand64::new(u128::from(self.seed) ^ 0x07a9e));
+        for scheduled in &mut self.schedule {
+            if rng.0.rand_float() < share {
+                let gateways = rng.subset(self.site.gateways, 0.4);
+                let drained = 1 + rng.below(self.site.servers / 3);
+                scheduled.fault = Fault::RestartInOutage { gateways, drained };
+            }
+        }
+        self
+    }
+}
+
 fn wide_fault(rng: &mut Rng, site: &Site) -> Fault {
     match rng.below(9) {
         0 | 1 => Fault::SignalSeries(rng.subset(site.gateways, 0.3)),
--- a/fault-soak/tests/oracle.rs
+++ b/fault-soak/tests/oracle.rs
@@ -53,6 +53,7 @@
 fn records(request: RequestRecord, attempts: Vec<AttemptRecord>) -> Records {
     let incarnation = Incarnation {
         started_at: 0.0,
+        list_revision: 1,
         log_unread: false,
         ready_at: Some(20.0),
         term_sent_at: None,
@@ -153,12 +154,28 @@
     let too_long = AttemptRecord { deadline: Some(1500.0), ..attempt(1010.0) };
     assert_eq!(broken(&records(request(Semantics::Idempotent), vec![too_long])), [Rule::Deadline]);
     let mut drained = records(request(Semantics::Idempotent), vec![attempt(1600.0)]);
-    drained.removal_notices = vec![RemovalNotice { gateway: 0, server: "s-1".into(), notified_at: 700.0 }];
+    drained.removal_notices =
+        vec![RemovalNotice { gateway: 0, server: "s-1".into(), revision: 2, notified_at: 700.0 }];
     assert_eq!(broken(&drained), []);
     drained.removal_notices[0].notified_at = 100.0;
     assert_eq!(broken(&drained), [Rule::Drain]);
 }
 
+// A process counts as notified from its start on of what its agent has and its configuration lacks.
+#[test]
+fn a_process_that_starts_after_a_drain_has_the_grace_from_its_start_only_if_its_configuration_lacks_the_drain(
+) {
+    let mut drained = records(request(Semantics::Idempotent), vec![attempt(1600.0)]);
+    drained.removal_notices =
+        vec![RemovalNotice { gateway: 0, server: "s-1".into(), revision: 2, notified_at: 100.0 }];
+    drained.incarnations[0][0].started_at = 700.0;
+    assert_eq!(broken(&drained), []);
+    drained.incarnations[0][0].list_revision = 2;
+    assert_eq!(broken(&drained), [Rule::Drain]);
+    (drained.incarnations[0][0].list_revision, drained.incarnations[0][0].started_at) = (1, 300.0);
+    assert_eq!(broken(&drained), [Rule::Drain]);
+}
+
 #[test]
 fn attempts_without_an_id_or_a_needed_key_are_malformed() {
     let without_id = AttemptRecord { request: None, ..attempt(1010.0) };
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -11,6 +11,8 @@
 const WIDE_DENSITY: f64 = 1.2;
 /// Faults per second of load in hard scenarios.
 const HARD_DENSITY: f64 = 2.5;
+/// The share of faults that are restarts in an outage of discovery, where a scenario has these.
+const RESTARTS_IN_OUTAGES: f64 = 0.6;
 
 /// Runs a scenario and fails with the violations of rules, if any.
 fn assert_no_violation(scenario: Scenario) {
@@ -36,5 +38,10 @@
     for seed in [20002, 20003] {
         assert_no_violation(Scenario::draw_wide(seed, GATEWAYS, LOAD_MS, WIDE_DENSITY));
     }
+    // Restarts in outages: gateways sent by the lists in their configurations to servers that their agents had as draining.
+    for seed in [30001, 30005] {
+        let scenario = Scenario::draw_wide(seed, GATEWAYS, LOAD_MS, WIDE_DENSITY);
+        assert_no_violation(scenario.with_restarts_in_outages(RESTARTS_IN_OUTAGES));
+    }
     assert_no_violation(Scenario::draw_hard(60001, GATEWAYS, LOAD_MS, HARD_DENSITY));
 }
