Soak: publish a server's join and its drain in the order in which they happen

The list in the gateway's configuration, revision 51, has s- as ready with the time of its join, and so have the agents' answers of revisions 39 to 51. The gateways followed the list. Ruled out: an old list in the file (its revision has the drain) and a late answer (gateway 7 was sent revision 43 after the drain).

Cause: a server that joins was marked as ready before its join was published, so a second replacement could pick it and publish its drain first. The list then had it as ready until it was gone.

--- a/fault-soak/src/discovery.rs
+++ b/fault-soak/src/discovery.rs
@@ -137,7 +137,12 @@
     }
 
     /// Changes the list. The agents receive the change one after another, evenly spread over `max_delay`.
+    ///
+    /// # Panics
+    /// If the server was removed before: gateways follow the list, so they would be blamed for a fault of the rig.
     pub fn publish(self: &Arc<Self>, entry: Entry, max_delay: Duration) {
+        let returned = entry.state == State::Ready && self.is_removed(&entry.uid);
+        assert!(!returned, "{} becomes ready after its drain", entry.uid);
         let revision = {
             let mut history = self.history.lock().expect("lock not poisoned");
             history.push(entry);
@@ -155,6 +160,12 @@
         }
     }
 
+    /// Whether a server drains or is gone.
+    fn is_removed(&self, uid: &str) -> bool {
+        let history = self.history.lock().expect("lock not poisoned");
+        history.iter().any(|entry| entry.uid == uid && entry.state != State::Ready)
+    }
+
     /// Adds an entry that all agents have from the start of the run.
     pub fn publish_at_start(&self, entry: Entry) {
         let revision = {
--- a/fault-soak/src/injection.rs
+++ b/fault-soak/src/injection.rs
@@ -310,12 +310,10 @@
     async fn replace(&self, count: usize) {
         for server in self.pick_ready(count) {
             self.set_state(&server, State::Draining);
-            self.discovery.publish(self.entry(&server, State::Draining, 0), MAX_LIST_DELAY);
-            let new = self.join_server(Some(self.site.capacity())).await;
-            self.discovery.publish(self.entry(&new, State::Ready, self.wall_clock()), MAX_LIST_DELAY);
+            let new = self.start_server(Some(self.site.capacity())).await;
+            self.add_to_list(new);
             sleep(DRAIN_DURATION).await;
             self.set_state(&server, State::Gone);
-            self.discovery.publish(self.entry(&server, State::Gone, 0), MAX_LIST_DELAY);
         }
     }
 
@@ -368,14 +366,7 @@
         sleep(duration).await;
         for server in servers {
             server.start(Some(self.site.capacity())).await;
-            // A server that was replaced meanwhile must not come back onto the list.
-            let servers = self.servers.lock().expect("lock not poisoned");
-            let ready =
-                servers.iter().any(|(known, state)| known.uid == server.uid && *state == State::Ready);
-            drop(servers);
-            if ready {
-                self.discovery.publish(self.entry(&server, State::Ready, self.wall_clock()), MAX_LIST_DELAY);
-            }
+            self.publish_restart(&server);
         }
     }
 
@@ -459,10 +450,28 @@
         chosen
     }
 
+    // The state of a server changes and is published under one lock. Otherwise the drain of a server could get onto the list
+    // before the start that it follows, and the list would have the server as ready from then on.
+
     fn set_state(&self, server: &Server, state: State) {
         let mut servers = self.servers.lock().expect("lock not poisoned");
         if let Some((_, current)) = servers.iter_mut().find(|(known, _)| known.uid == server.uid) {
             *current = state;
         }
+        self.discovery.publish(self.entry(server, state, 0), MAX_LIST_DELAY);
+    }
+
+    fn add_to_list(&self, server: Arc<Server>) {
+        let mut servers = self.servers.lock().expect("lock not poisoned");
+        self.discovery.publish(self.entry(&server, State::Ready, self.wall_clock()), MAX_LIST_DELAY);
+        servers.push((server, State::Ready));
+    }
+
+    /// Publishes the new start of a server, unless the server was replaced meanwhile.
+    fn publish_restart(&self, server: &Server) {
+        let servers = self.servers.lock().expect("lock not poisoned");
+        if servers.iter().any(|(known, state)| known.uid == server.uid && *state == State::Ready) {
+            self.discovery.publish(self.entry(server, State::Ready, self.wall_clock()), MAX_LIST_DELAY);
+        }
     }
 }
--- a/fault-soak/src/run.rs
+++ b/fault-soak/src/run.rs
@@ -118,8 +118,9 @@
         counter,
     });
     for _ in 0..site.servers {
-        let server = rig.join_server(None).await;
+        let server = rig.start_server(None).await;
         rig.discovery.publish_at_start(rig.entry(&server, State::Ready, 0));
+        rig.servers.lock().expect("lock not poisoned").push((server, State::Ready));
     }
     rig.start_gateways().await;
     let timer_check = tokio::spawn(measure_timer_delay(event_log.clone()));
@@ -209,15 +210,14 @@
         self.rng.lock().expect("lock not poisoned").rand_u64()
     }
 
-    /// Starts a new server; cold if a capacity is given.
-    pub(crate) async fn join_server(&self, capacity: Option<f64>) -> Arc<Server> {
+    /// Starts a new server, which is not on the list yet; cold if a capacity is given.
+    pub(crate) async fn start_server(&self, capacity: Option<f64>) -> Arc<Server> {
         let seed = self.draw();
         let uid = format!("s-{:08x}", seed as u32);
         let zone = self.servers.lock().expect("lock not poisoned").len() % self.site.zones;
         let server = Server::new(uid, zone, self.event_log.clone(), self.usage.clone(), seed).await;
         let server = Arc::new(server);
         server.start(capacity).await;
-        self.servers.lock().expect("lock not poisoned").push((server.clone(), State::Ready));
         server
     }
 
