Test: a reload to a silent shared service withdraws the old list; it fails (KNOWN-RED)

One is left: with registryMode on_request the list is never withdrawn, and what the new discovery has counts 4 s after SIGHUP there as well.

--- a/tests/gateway_process/discovery.rs
+++ b/tests/gateway_process/discovery.rs
@@ -483,6 +483,24 @@
     gateway.serves_from(&backend);
 }
 
+// What discovery has counts 4 s after SIGHUP also where one service answers all gateways, but the list of such a service was
+// never withdrawn: requests went to servers that drain for as long as the new service was silent.
+#[test]
+fn after_a_reload_to_an_unresponsive_shared_service_the_old_list_is_withdrawn_within_4_s_and_the_grace() {
+    let (backend, old, new) = (Peer::start(), Peer::start(), Peer::start());
+    let known = list(&[target("s-00000001", backend.address, "ready")]);
+    let mut config = config_with_short_grace(old.address, known);
+    config["settings"]["registryMode"] = json!("on_request");
+    let gateway = GatewayProcess::start(&config);
+    old.next_request().ok(&no_changes());
+    config["discovery"] = json!(new.address.to_string());
+    std::fs::write(&gateway.file, config.to_string()).expect("the file is replaced");
+    let signalled_at = Instant::now();
+    gateway.signal("-HUP");
+    new.next_request();
+    assert_used_for_4_s_and_part_of_the_grace(&gateway, backend, signalled_at);
+}
+
 // A shared service is not asked anew for want of a configuration: the watch was restarted at the revision of the first
 // configuration, so that the service had to send all changes since again.
 #[test]
