--- a/tests/gateway_process/main.rs
+++ b/tests/gateway_process/main.rs
@@ -6,6 +6,7 @@
 mod counter;
 mod descriptors;
 mod discovery;
+mod list_validity;
 mod peers;
 mod process;
 mod quota;
