--- a/fault-soak/src/injection.rs
+++ b/fault-soak/src/injection.rs
@@ -3,8 +3,8 @@
 use crate::client::open_idle_connections;
 use crate::counter::CounterBehaviour;
 use crate::discovery::State;
-use crate::gateway::{Gateway, LogTarget, PeerConfig};
 use crate::proxy::ProxyFaults;
+use crate::restart::{StartMode, StopMode};
 use crate::run::{join_all, millis, ProxiedCounter, Rig};
 use crate::scenario::{Fault, ScheduledFault, ServerFault, BURST_CLIENTS};
 use crate::server::{Server, ServerBehaviour};
@@ -13,26 +13,16 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{interval, sleep, timeout};
+use tokio::time::{interval, sleep};
 
 /// The longest delay until an agent receives a change of the server list.
 const MAX_LIST_DELAY: Duration = Duration::from_millis(700);
-/// The time from the start of a drain to an outage of discovery: all agents have received the drain by then.
-const DRAIN_BEFORE_OUTAGE: Duration = Duration::from_millis(900);
-/// The time from the start of an outage to the start of a gateway in it.
-const OUTAGE_BEFORE_START: Duration = Duration::from_millis(100);
 /// How long a replaced server drains before it is removed.
 const DRAIN_DURATION: Duration = Duration::from_millis(2500);
 /// The pause between new configurations in a row.
 const RELOAD_GAP: Duration = Duration::from_millis(60);
 /// The longest time for which a configuration that is rewritten in place is truncated.
 const MAX_TRUNCATED: Duration = Duration::from_millis(300);
-/// How long the configuration is truncated at the start of a gateway.
-const TRUNCATED_AT_START: Duration = Duration::from_millis(400);
-/// The pause between the signals of a series.
-const SIGNAL_GAP: Duration = Duration::from_millis(70);
-/// How many SIGHUPs are sent to a gateway that starts.
-const SIGHUPS_AT_START: usize = 6;
 /// How long a gateway process is stopped at a time.
 const PAUSE: Duration = Duration::from_millis(140);
 /// The time from one stop to the next.
@@ -40,55 +30,6 @@
 /// How long after a gateway was stopped a burst of clients connects to it.
 const BURST_DELAY: Duration = Duration::from_millis(10);
 
-/// How a gateway is stopped.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum StopMode {
-    /// By SIGTERM.
-    Graceful,
-    /// By SIGKILL.
-    Kill,
-    /// By SIGTERM, with further SIGHUPs and SIGTERMs until it has exited.
-    SignalSeries,
-}
-
-/// How a gateway is started.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum StartMode {
-    Normal,
-    /// With a configuration that is truncated at first.
-    TruncatedConfig,
-    /// With several SIGHUPs as it starts.
-    RepeatedSighup,
-    /// With a pipe for the log that is never read.
-    UnreadLog,
-}
-
-/// Sends SIGHUP and SIGTERM, together and separately, until it is aborted.
-async fn send_signal_series(gateway: Arc<Gateway>) {
-    loop {
-        sleep(SIGNAL_GAP).await;
-        gateway.signal(Signal::HUP);
-        gateway.signal(Signal::TERM);
-        sleep(SIGNAL_GAP).await;
-        gateway.signal(Signal::HUP);
-    }
-}
-
-/// Sends SIGHUPs to a gateway that starts, from the moment on at which it has installed its handler.
-async fn send_sighups_at_start(gateway: Arc<Gateway>) {
-    for _ in 0..SIGHUPS_AT_START {
-        let handled = async {
-            while !gateway.catches(Signal::HUP) {
-                sleep(Duration::from_micros(200)).await;
-            }
-        };
-        if timeout(Duration::from_secs(1), handled).await.is_ok() {
-            gateway.signal(Signal::HUP);
-        }
-        sleep(Duration::from_millis(1)).await;
-    }
-}
-
 impl Rig {
     /// Injects a fault, and reverts it after its duration if it does not end by itself.
     pub(crate) async fn inject(self: Arc<Self>, scheduled: ScheduledFault) {
@@ -134,7 +75,7 @@
                 self.restart(&gateways, StopMode::Graceful, StartMode::Normal).await;
                 self.restart(&gateways, StopMode::Graceful, StartMode::Normal).await;
             }
-            Fault::ReplaceServers(count) => self.replace(count).await,
+            Fault::ReplaceServers(count) => self.replace_servers(count).await,
             Fault::CrashServers(count) => self.crash(self.pick_ready(count), duration).await,
             Fault::BlackholeServers(count) => self.blackhole(self.pick_ready(count), duration).await,
             Fault::SlowFragmentedResponses => {
@@ -204,62 +145,6 @@
         }
     }
 
-    async fn restart(self: &Arc<Self>, gateways: &[usize], stop: StopMode, start: StartMode) {
-        let mut restarts = tokio::task::JoinSet::new();
-        for gateway in gateways {
-            let (rig, gateway) = (self.clone(), self.gateways[*gateway].clone());
-            restarts.spawn(async move {
-                // Only one restart at a time: a further one is dropped.
-                let Ok(_restarting) = gateway.restarting.try_lock() else { return };
-                if gateway.availability().is_none() {
-                    return;
-                }
-                let longest = rig.site.longest_deadline();
-                match stop {
-                    StopMode::Graceful => gateway.terminate(longest).await,
-                    StopMode::Kill => gateway.kill().await,
-                    StopMode::SignalSeries => {
-                        let series = tokio::spawn(send_signal_series(gateway.clone()));
-                        gateway.terminate(longest).await;
-                        series.abort();
-                    }
-                }
-                rig.start_as(&gateway, start).await;
-            });
-        }
-        join_all(restarts).await;
-    }
-
-    async fn restart_in_outage(self: &Arc<Self>, gateways: &[usize], drained: usize, outage: Duration) {
-        let mut tasks = tokio::task::JoinSet::new();
-        for gateway in gateways {
-            let (rig, gateway) = (self.clone(), self.gateways[*gateway].clone());
-            tasks.spawn(async move { rig.kill_and_start_with_old_list(&gateway).await });
-        }
-        for _ in 0..drained {
-            let rig = self.clone();
-            tasks.spawn(async move { rig.replace(1).await });
-        }
-        sleep(DRAIN_BEFORE_OUTAGE).await;
-        self.discovery.change_behaviour(|behaviour| behaviour.down = true);
-        sleep(outage).await;
-        self.discovery.change_behaviour(|behaviour| behaviour.down = false);
-        join_all(tasks).await;
-    }
-
-    /// Starts the gateway again with the list that its agent had before servers began to drain.
-    async fn kill_and_start_with_old_list(&self, gateway: &Arc<Gateway>) {
-        let Ok(_restarting) = gateway.restarting.try_lock() else { return };
-        if gateway.availability().is_none() {
-            return;
-        }
-        let known_servers = self.discovery.list(gateway.index);
-        gateway.kill().await;
-        sleep(DRAIN_BEFORE_OUTAGE + OUTAGE_BEFORE_START).await;
-        let peers = PeerConfig { known_servers, ..self.peers(gateway.index) };
-        self.start_with_peers(gateway, StartMode::Normal, &peers).await;
-    }
-
     async fn pause(&self, gateways: &[usize], duration: Duration) {
         let rounds = duration.as_millis() / PAUSE_PERIOD.as_millis();
         let mut ticks = interval(PAUSE_PERIOD);
@@ -307,7 +192,8 @@
         }
     }
 
-    async fn replace(&self, count: usize) {
+    /// Lets servers drain one after another, replaces each by a new one, and removes it.
+    pub(crate) async fn replace_servers(&self, count: usize) {
         for server in self.pick_ready(count) {
             self.set_state(&server, State::Draining);
             let new = self.start_server(Some(self.site.capacity())).await;
@@ -408,30 +294,6 @@
         servers.iter().for_each(|server| server.set_behaviour(normal));
     }
 
-    /// Starts a gateway in the given way and waits until it is ready.
-    pub(crate) async fn start_as(&self, gateway: &Arc<Gateway>, start: StartMode) {
-        self.start_with_peers(gateway, start, &self.peers(gateway.index)).await;
-    }
-
-    async fn start_with_peers(&self, gateway: &Arc<Gateway>, start: StartMode, peers: &PeerConfig) {
-        let log = if start == StartMode::UnreadLog { LogTarget::UnreadPipe } else { LogTarget::File };
-        let rewriting = if start == StartMode::TruncatedConfig {
-            let rewriting = gateway.configure_in_place(&self.site, peers, TRUNCATED_AT_START);
-            Some(tokio::spawn(rewriting))
-        } else {
-            gateway.configure(&self.site, peers);
-            None
-        };
-        let signals = (start == StartMode::RepeatedSighup)
-            .then(|| tokio::spawn(send_sighups_at_start(gateway.clone())));
-        if !gateway.start(peers, log).await {
-            self.event_log.add_to_timeline(format!("gateway {} was not ready within 30 s", gateway.index));
-        }
-        for task in [rewriting, signals].into_iter().flatten() {
-            let _ = task.await;
-        }
-    }
-
     /// Up to `count` random servers that are ready, but at most half of them.
     fn pick_ready(&self, count: usize) -> Vec<Arc<Server>> {
         let servers = self.servers.lock().expect("lock not poisoned");
--- a/fault-soak/src/lib.rs
+++ b/fault-soak/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod listener;
 pub mod meter;
 pub mod proxy;
+mod restart;
 pub mod run;
 pub mod scenario;
 pub mod server;
