Soak: a response of another request is reported with the surplus bytes before it

Request fae, which must not run twice, was written 46 ms after the response before it on a connection to a server that sends second responses ("0.074 ... answer: served", "0.120 ... attempt 0 to", "0.121 ... answer: served"), and was answered within 0.6 ms; the server took 25 ms for it.

Attempts have their connection and the time of surplus bytes now, and the report of the violation names the latest ones on that connection.

--- a/fault-soak/src/event_log.rs
+++ b/fault-soak/src/event_log.rs
@@ -101,6 +101,8 @@
     pub request: Option<RequestId>,
     /// The server's uid on the list.
     pub server: String,
+    /// Identifies the connection on which it came.
+    pub connection: u64,
     /// When its first byte was read.
     pub first_byte_at: Millis,
     /// When its last byte was read.
@@ -113,6 +115,8 @@
     pub ran: bool,
     /// When its response was written or its connection ended.
     pub finished_at: Option<Millis>,
+    /// When bytes that belong to no request were written after its response.
+    pub surplus_written_at: Option<Millis>,
     /// How the server handled it; appears in reports only.
     pub handling: &'static str,
 }
--- a/fault-soak/src/invariants.rs
+++ b/fault-soak/src/invariants.rs
@@ -161,7 +161,10 @@
                     broken(Rule::Lost, *at, "response too late");
                 }
                 if *status == 200 && !body_matches {
-                    broken(Rule::Foreign, *at, "the 200 carries a body that no server made for this request");
+                    let before = self.surplus_before(attempts, *at);
+                    let why =
+                        format!("the 200 carries a body that no server made for this request ({before})");
+                    broken(Rule::Foreign, *at, &why);
                 }
                 let refused = matches!(status, 429 | 503) && !request.sent_twice;
                 if refused && attempts.iter().any(|attempt| attempt.ran) {
@@ -183,6 +186,23 @@
         }
     }
 
+    /// Describes the latest bytes before that time that belong to no request and were written on the connections of these
+    /// attempts.
+    fn surplus_before(&self, attempts: &[&AttemptRecord], before: Millis) -> String {
+        let on_same_connection =
+            |other: &&AttemptRecord| attempts.iter().any(|attempt| attempt.connection == other.connection);
+        let earlier = self.records.attempts.iter().filter(on_same_connection);
+        let surplus = earlier.filter_map(|attempt| Some((attempt, attempt.surplus_written_at?)));
+        match surplus.rev().find(|(_, written_at)| *written_at <= before) {
+            Some((attempt, written_at)) => {
+                format!(
+                    "surplus bytes were written on its connection at {written_at:.1} ms, after {attempt:?}"
+                )
+            }
+            None => "no surplus bytes were written on its connection".to_string(),
+        }
+    }
+
     fn check_duplicates(&self, request: &RequestRecord, found: &mut Vec<Violation>) {
         let attempts = self.attempts(request.id);
         let ran: Vec<&&AttemptRecord> = attempts.iter().filter(|attempt| attempt.ran).collect();
--- a/fault-soak/src/server.rs
+++ b/fault-soak/src/server.rs
@@ -135,6 +135,7 @@
                     event_log: event_log.clone(),
                     usage: usage.clone(),
                     behaviour: behaviour.clone(),
+                    id: rng.clone().rand_u64(),
                     rng,
                 };
                 connections.spawn(connection.serve(stream));
@@ -169,6 +170,7 @@
     event_log: Arc<EventLog>,
     usage: Option<Usage>,
     behaviour: Arc<Mutex<ServerBehaviour>>,
+    id: u64,
     rng: Rand64,
 }
 
@@ -208,12 +210,14 @@
             let index = self.event_log.begin_attempt(AttemptRecord {
                 request: None,
                 server: self.uid.clone(),
+                connection: self.id,
                 first_byte_at,
                 received_at: None,
                 deadline: None,
                 keyed: false,
                 ran: false,
                 finished_at: None,
+                surplus_written_at: None,
                 handling: "incomplete",
             });
             let handled = self.handle_request(&mut reader, index).await;
@@ -362,6 +366,8 @@
             FollowUp::SecondResponse(more) => {
                 let until = Instant::now() + delay;
                 tokio::time::sleep_until(until).await;
+                let now = self.event_log.now();
+                self.event_log.update_attempt(index, |attempt| attempt.surplus_written_at = Some(now));
                 Ok(reader.stream.write_all(&more).await.is_ok())
             }
         }
--- a/fault-soak/tests/oracle.rs
+++ b/fault-soak/tests/oracle.rs
@@ -40,12 +40,14 @@
     AttemptRecord {
         request: Some(ID),
         server: "s-1".into(),
+        connection: 1,
         first_byte_at,
         received_at: Some(first_byte_at),
         deadline: Some(500.0),
         keyed: true,
         ran: true,
         finished_at: Some(first_byte_at + 50.0),
+        surplus_written_at: None,
         handling: "response",
     }
 }
@@ -128,7 +130,16 @@
 fn responses_must_match_what_servers_did() {
     let mut foreign = request(Semantics::Idempotent);
     foreign.outcome = Some((Outcome::Response { status: 200, body_matches: false }, 1100.0));
-    assert_eq!(broken(&records(foreign, vec![attempt(1010.0)])), [Rule::Foreign]);
+    assert_eq!(broken(&records(foreign.clone(), vec![attempt(1010.0)])), [Rule::Foreign]);
+    let before = AttemptRecord { request: None, surplus_written_at: Some(1020.5), ..attempt(980.0) };
+    let text = |attempts| {
+        let violations = check(&site(), &records(foreign.clone(), attempts));
+        violations.into_iter().find(|violation| violation.rule == Rule::Foreign).expect("a violation").text
+    };
+    assert!(text(vec![before.clone(), attempt(1010.0)]).contains("on its connection at 1020.5 ms"));
+    let elsewhere = AttemptRecord { connection: 2, ..before.clone() };
+    let later = AttemptRecord { surplus_written_at: Some(1100.5), ..before };
+    assert!(text(vec![elsewhere, later, attempt(1010.0)]).contains("no surplus bytes"));
     let mut refused = request(Semantics::Idempotent);
     refused.outcome = Some((Outcome::Response { status: 429, body_matches: false }, 1100.0));
     assert_eq!(broken(&records(refused.clone(), vec![attempt(1010.0)])), [Rule::Refused]);
