Tests: reloads in a row, back, in an outage, and to an address that refuses; such a start

The withdrawal of a list that nobody confirmed had tests for a start and a reload whose discovery is silent. These hold the neighbours: an agent or a new address that refuses connections, two reloads in a row, a reload back to a discovery that has become silent, and a reload in an outage that began before it. The limits are those of the first signal: 4 s and the grace.

The discovery that a reload is tested with keeps its first call open now, as a silent one does.

--- a/tests/gateway_process/list_validity.rs
+++ b/tests/gateway_process/list_validity.rs
@@ -219,6 +219,16 @@
     }
 }
 
+// The same if the agent's process is down.
+#[test]
+fn a_start_whose_agent_refuses_connections_stops_sending_by_the_list_in_its_file_within_the_drain_grace() {
+    let backend = Peer::start();
+    let known = list(&[target("s-00000001", backend.address, "ready")]);
+    let gateway = GatewayProcess::start(&config_with_short_grace(closed_port(), known));
+    thread::sleep(Duration::from_millis(1050));
+    assert_eq!(sent_of_10_requests(&gateway, backend), 0, "of 10 requests were sent by an unconfirmed list");
+}
+
 // After SIGHUP the list of the old discovery stays in force for as long as the gateway does not count as notified of what
 // the new one has, which is 4 s and the drain grace. It stayed in force until the new one answered (review case 8: sends
 // up to 8 s after the signal, to a server that drained).
@@ -230,6 +240,48 @@
     assert_used_for_4_s_and_part_of_the_grace(&gateway, backend, signalled_at);
 }
 
+// The same if nothing listens at the new address.
+#[test]
+fn after_a_reload_to_an_address_that_refuses_connections_the_old_list_is_withdrawn_within_4_s_and_the_grace()
+{
+    let (backend, old) = (Peer::start(), Peer::start());
+    let (gateway, mut config, _watch) = gateway_with_confirmed_watch(&backend, &old);
+    let signalled_at = reload(&gateway, &mut config, closed_port());
+    assert_used_for_4_s_and_part_of_the_grace(&gateway, backend, signalled_at);
+}
+
+// A second reload does not extend the time that the first one left: what the first discovery has counts all the same.
+#[test]
+fn after_two_reloads_to_unresponsive_discoveries_the_time_counts_from_the_first() {
+    let (backend, old, new, newer) = (Peer::start(), Peer::start(), Peer::start(), Peer::start());
+    let (gateway, mut config, _watch) = gateway_with_confirmed_watch(&backend, &old);
+    let signalled_at = reload_with_discovery(&gateway, &mut config, &new);
+    thread::sleep(Duration::from_millis(1500));
+    reload_with_discovery(&gateway, &mut config, &newer);
+    assert_used_for_4_s_and_part_of_the_grace(&gateway, backend, signalled_at);
+}
+
+// The old discovery may have received changes while it was not asked.
+#[test]
+fn after_a_reload_back_to_the_old_discovery_which_has_become_unresponsive_the_time_counts_from_the_first() {
+    let (backend, old, new) = (Peer::start(), Peer::start(), Peer::start());
+    let (gateway, mut config, _watch) = gateway_with_confirmed_watch(&backend, &old);
+    let signalled_at = reload_with_discovery(&gateway, &mut config, &new);
+    thread::sleep(Duration::from_millis(1500));
+    reload_with_discovery(&gateway, &mut config, &old);
+    assert_used_for_4_s_and_part_of_the_grace(&gateway, backend, signalled_at);
+}
+
+// A list that was confirmed before the outage stays in use through it, but not beyond what the new discovery counts from.
+#[test]
+fn after_a_reload_in_an_outage_the_confirmed_list_is_withdrawn_within_4_s_and_the_grace() {
+    let (backend, old, new) = (Peer::start(), Peer::start(), Peer::start());
+    let (gateway, mut config, _watch) = gateway_with_confirmed_watch(&backend, &old);
+    thread::sleep(Duration::from_millis(1500));
+    let signalled_at = reload_with_discovery(&gateway, &mut config, &new);
+    assert_used_for_4_s_and_part_of_the_grace(&gateway, backend, signalled_at);
+}
+
 // The same if the new configuration cannot be read: the old discovery does not answer any more, and the new one is not
 // known.
 #[test]
@@ -291,11 +343,17 @@
 
 /// Moves a gateway to a discovery that does not answer, and waits until that is called. Returns when SIGHUP was sent.
 fn reload_with_discovery(gateway: &GatewayProcess, config: &mut Value, new: &Peer) -> Instant {
-    config["discovery"] = json!(new.address.to_string());
+    let signalled_at = reload(gateway, config, new.address);
+    std::mem::forget(fresh_request(new));
+    signalled_at
+}
+
+/// Replaces the address of discovery in the configuration and sends SIGHUP. Returns when it was sent.
+fn reload(gateway: &GatewayProcess, config: &mut Value, discovery: SocketAddr) -> Instant {
+    config["discovery"] = json!(discovery.to_string());
     std::fs::write(&gateway.file, config.to_string()).expect("the file is replaced");
     let signalled_at = Instant::now();
     gateway.signal("-HUP");
-    new.next_request();
     signalled_at
 }
 
