Tests: name the watch that is waited for, as calls to an agent without an answer overlap

Cause: the test takes the next call after its answer for the watch, which shows that the list is in use. Since calls overlap while an agent has not answered, and building the list took 0.7 s, so that call was an older one for the full list. Trace: "0.692 ... refused: NoCapacity", "0.902 trace discovery after 930.2 ms: revision 1, full list of 3200". Ruled out: the gateway, which takes the list and watches from 0.908 s on.

Fix: the test waits for a watch, and builds its list before the gateway starts. The same wait stood in five more places (a reload, calls that failed, failed connects, two outages), where a call from before could stand for the watch, its confirmation or a call after a recovery; each now names the call that it means. A watch and its confirmation may arrive in either order. No assertion, bound or time limit changes.

--- a/tests/gateway_process/discovery.rs
+++ b/tests/gateway_process/discovery.rs
@@ -134,7 +134,7 @@
     let mut gateway = GatewayProcess::start_with(&config, Stdio::piped());
     let mut log = BufReader::new(gateway.child.stderr.take().expect("a pipe"));
     first.next_request().ok(&list(&[target("s-00000001", backend.address, "ready")]).to_string());
-    let mut old = first.next_request();
+    let mut old = next_watch(&first);
 
     // A truncated file changes nothing and is logged once. It is applied once it is complete, without another signal.
     std::fs::write(&gateway.file, &config.to_string()[..99]).expect("the file is replaced");
@@ -160,7 +160,7 @@
     }
     let moved = Peer::start();
     old.ok(&list(&[target("s-00000002", moved.address, "ready")]).to_string());
-    second.next_request();
+    next_watch(&second);
     client.send(&get(""));
     moved.next_request().ok("served");
     assert_eq!(client.read().status(), 200);
@@ -189,7 +189,7 @@
         slow.wait_for_close();
         let targets = [target("s-00000002", new.address, "ready")];
         fresh_request(&agent).ok(&list(&targets).to_string());
-        agent.next_request();
+        next_watch(&agent);
         let mut client = gateway.client();
         client.send(&get(""));
         new.next_request().ok("served");
@@ -200,13 +200,14 @@
 #[test]
 fn an_indented_list_of_3200_backends_is_accepted() {
     let (backend, agent) = (Peer::start(), Peer::start());
-    let gateway = GatewayProcess::start(&config(agent.address, list(&[])));
     let state = |n: u32| if n == 2700 { "ready" } else { "draining" };
     let targets: Vec<_> =
         (0..3200).map(|n| target(&format!("s-{n:08x}"), backend.address, state(n))).collect();
     let text = serde_json::to_string_pretty(&list(&targets)).expect("it is JSON");
-    agent.next_request().ok(&text.replace("  ", "        "));
-    agent.next_request();
+    let indented = text.replace("  ", "        ");
+    let gateway = GatewayProcess::start(&config(agent.address, list(&[])));
+    agent.next_request().ok(&indented);
+    next_watch(&agent);
     gateway.serves_from(&backend);
 }
 
--- a/tests/gateway_process/list_validity.rs
+++ b/tests/gateway_process/list_validity.rs
@@ -41,19 +41,26 @@
 /// A gateway with one server and a drain grace of 1 s, its configuration, and the open watch of its agent, which has sent it
 /// the list.
 fn gateway_with_open_watch(backend: &Peer, agent: &Peer) -> (GatewayProcess, Value, Exchange) {
+    let (gateway, config) = gateway_with_list(backend, agent);
+    let watch = next_watch(agent);
+    assert_eq!(watch.request.line, "GET /v1/servers?after=1&wait_ms=400 HTTP/1.1");
+    (gateway, config, watch)
+}
+
+/// A gateway with one server and a drain grace of 1 s, to which its agent has sent the list, and its configuration.
+fn gateway_with_list(backend: &Peer, agent: &Peer) -> (GatewayProcess, Value) {
     let known = list(&[target("s-00000001", backend.address, "ready")]);
     let config = config_with_short_grace(agent.address, known.clone());
     let gateway = GatewayProcess::start(&config);
     agent.next_request().ok(&known.to_string());
-    let watch = next_watch(agent);
-    assert_eq!(watch.request.line, "GET /v1/servers?after=1&wait_ms=400 HTTP/1.1");
-    (gateway, config, watch)
+    (gateway, config)
 }
 
 /// The same with a watch that the agent has confirmed.
 fn gateway_with_confirmed_watch(backend: &Peer, agent: &Peer) -> (GatewayProcess, Value, Exchange) {
-    let (gateway, config, watch) = gateway_with_open_watch(backend, agent);
-    let confirmation = next_call_for_changes(agent);
+    let (gateway, config) = gateway_with_list(backend, agent);
+    let (watch, confirmation) = next_watch_and_confirmation(agent);
+    assert_eq!(watch.request.line, "GET /v1/servers?after=1&wait_ms=400 HTTP/1.1");
     assert_eq!(confirmation.request.line, "GET /v1/servers?after=1&wait_ms=0 HTTP/1.1");
     confirmation.ok(&no_changes());
     (gateway, config, watch)
@@ -427,9 +434,9 @@
     config["settings"]["rules"]["stopSendingWithin"] = json!(DRAIN_GRACE.as_millis());
     let gateway = GatewayProcess::start(&config);
     agent.next_request().ok(&known.to_string());
-    let watch = agent.next_request();
-    agent.next_request().ok(&no_changes());
-    let _unanswered = [watch, agent.next_request()];
+    let (watch, confirmation) = next_watch_and_confirmation(&agent);
+    confirmation.ok(&no_changes());
+    let _unanswered = [watch, fresh_request(&agent)];
     let returned_at = Instant::now();
     let mut drains = list(&[target("s-00000001", backend.address, "draining")]);
     drains["rev"] = json!(2);
--- a/tests/gateway_process/peers.rs
+++ b/tests/gateway_process/peers.rs
@@ -226,19 +226,24 @@
 pub fn next_list_call(agent: &Peer) -> Exchange {
     loop {
         let call = agent.next_request();
-        if !call.request.line.contains("&wait_ms=0 ") {
+        if !is_confirmation(&call) {
             return call;
         }
         std::mem::forget(call);
     }
 }
 
-/// The next call that arrives at an agent from now on. Calls to an agent that does not answer overlap, so earlier ones may be
-/// about to time out.
-pub fn fresh_request(agent: &Peer) -> Exchange {
+/// Leaves all calls that have arrived at an agent without an answer.
+pub fn ignore_calls_so_far(agent: &Peer) {
     while let Ok(earlier) = agent.exchanges.try_recv() {
         std::mem::forget(earlier);
     }
+}
+
+/// The next call that arrives at an agent from now on. Calls to an agent that does not answer overlap, so earlier ones may be
+/// about to time out.
+pub fn fresh_request(agent: &Peer) -> Exchange {
+    ignore_calls_so_far(agent);
     agent.next_request()
 }
 
@@ -254,17 +259,30 @@
     }
 }
 
+fn is_confirmation(call: &Exchange) -> bool {
+    call.request.line.contains("&wait_ms=0 ")
+}
+
 /// The next watch at an agent. Calls that only confirm one stay open without an answer.
 pub fn next_watch(agent: &Peer) -> Exchange {
     loop {
         let call = next_call_for_changes(agent);
-        if !call.request.line.contains("&wait_ms=0 ") {
+        if !is_confirmation(&call) {
             return call;
         }
         std::mem::forget(call);
     }
 }
 
+/// The next watch at an agent and the call that confirms it, which may arrive in either order.
+pub fn next_watch_and_confirmation(agent: &Peer) -> (Exchange, Exchange) {
+    let (first, second) = (next_call_for_changes(agent), next_call_for_changes(agent));
+    match is_confirmation(&first) {
+        true => (second, first),
+        false => (first, second),
+    }
+}
+
 /// An address where nothing listens while the tests run.
 pub fn closed_port() -> SocketAddr {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
--- a/tests/gateway_process/system_calls.rs
+++ b/tests/gateway_process/system_calls.rs
@@ -144,10 +144,11 @@
     let _gateway = faults.start(&config);
     agent.next_request().ok(&list(&[]).to_string());
     for _ in 0..5 {
-        let watch = agent.next_request();
+        let watch = next_watch(&agent);
         faults.control.set(Faults { connect_fails: 1.0, ..Faults::default() });
         watch.send_and_close("");
         thread::sleep(Duration::from_millis(1500));
+        ignore_calls_so_far(&agent);
         faults.control.set(Faults::default());
         let recovered = Instant::now();
         agent.next_request().ok(&list(&[]).to_string());
