Tests and soak: one piece each for an answering agent, a confirming call and an outage

A test of reloads had its own copy of answer_with_list, one loop its own form of is_confirmation, and the restarts in an outage repeated how Fault::DiscoveryDown begins and ends. No behaviour or assertion changes.

--- a/fault-soak/src/injection.rs
+++ b/fault-soak/src/injection.rs
@@ -86,11 +86,7 @@
             Fault::FaultyServers(count, server_fault) => {
                 self.set_server_fault(count, server_fault, duration).await
             }
-            Fault::DiscoveryDown => {
-                self.discovery.change_behaviour(|behaviour| behaviour.down = true);
-                sleep(duration).await;
-                self.discovery.change_behaviour(|behaviour| behaviour.down = false);
-            }
+            Fault::DiscoveryDown => self.take_discovery_down(duration).await,
             Fault::WatchesSilent => self.discovery.silence_watches(),
             Fault::WatchesReset => self.discovery.reset_watches(),
             Fault::UnusualLists => {
@@ -137,6 +133,13 @@
         }
     }
 
+    /// Lets no agent answer for that time.
+    pub(crate) async fn take_discovery_down(&self, duration: Duration) {
+        self.discovery.change_behaviour(|behaviour| behaviour.down = true);
+        sleep(duration).await;
+        self.discovery.change_behaviour(|behaviour| behaviour.down = false);
+    }
+
     fn change_syscall_faults(&self, gateways: &[usize], change: impl Fn(&mut Faults)) {
         let mut all = self.syscall_faults.lock().expect("lock not poisoned");
         for gateway in gateways {
--- a/fault-soak/src/restart.rs
+++ b/fault-soak/src/restart.rs
@@ -112,9 +112,7 @@
             tasks.spawn(async move { rig.replace_servers(1).await });
         }
         sleep(DRAIN_BEFORE_OUTAGE).await;
-        self.discovery.change_behaviour(|behaviour| behaviour.down = true);
-        sleep(outage).await;
-        self.discovery.change_behaviour(|behaviour| behaviour.down = false);
+        self.take_discovery_down(outage).await;
         join_all(tasks).await;
     }
 
--- a/tests/gateway_process/list_validity.rs
+++ b/tests/gateway_process/list_validity.rs
@@ -28,16 +28,6 @@
     (StartingGateway::spawn(&file, config), file)
 }
 
-/// Answers all calls to an agent with the same list.
-fn answer_with_list(agent: Peer, list: Value) {
-    thread::spawn(move || {
-        while let Ok(call) = agent.exchanges.recv() {
-            // Calls that arrived while the agent was unresponsive may have been given up.
-            call.answer_if_open(&list.to_string());
-        }
-    });
-}
-
 /// A gateway with one server and a drain grace of 1 s, its configuration, and the open watch of its agent, which has sent it
 /// the list.
 fn gateway_with_open_watch(backend: &Peer, agent: &Peer) -> (GatewayProcess, Value, Exchange) {
@@ -132,7 +122,7 @@
         let call = agent.next_request();
         if call.request.line == "GET /v1/servers HTTP/1.1" {
             call.answer_if_open(&list.to_string());
-        } else if call.request.line.contains("&wait_ms=0 ") {
+        } else if is_confirmation(&call) {
             call.answer_if_open(&no_changes());
             if watch_opened.is_some_and(|opened: Instant| opened.elapsed() < TIMELY) {
                 return;
--- a/tests/gateway_process/peers.rs
+++ b/tests/gateway_process/peers.rs
@@ -259,7 +259,18 @@
     }
 }
 
-fn is_confirmation(call: &Exchange) -> bool {
+/// Answers all calls to an agent with the same list.
+pub fn answer_with_list(agent: Peer, list: Value) {
+    thread::spawn(move || {
+        while let Ok(call) = agent.exchanges.recv() {
+            // Calls that arrived while the agent was unresponsive may have been given up.
+            call.answer_if_open(&list.to_string());
+        }
+    });
+}
+
+/// Whether a call to an agent only confirms a watch.
+pub fn is_confirmation(call: &Exchange) -> bool {
     call.request.line.contains("&wait_ms=0 ")
 }
 
--- a/tests/gateway_process/reload.rs
+++ b/tests/gateway_process/reload.rs
@@ -218,11 +218,7 @@
     );
     thread::sleep(Duration::from_millis(500));
     std::fs::write(&file, config.to_string()).expect("the pipe is read");
-    thread::spawn(move || {
-        while let Ok(call) = agent.exchanges.recv() {
-            call.answer_if_open(&known.to_string());
-        }
-    });
+    answer_with_list(agent, known);
     starting.listening(&config, file).serves_from(&backend);
 }
 
